--- /dev/null
+++ b/packages/decisions/routing/picker.h
@@ -0,0 +1,59 @@
+// Picks the node, and so the target, that an attempt goes to.
+//
+//   std::variant<PeerAddress, ResultCode> pick = picker.Pick(request, members, now);
+//   picker.NoteSent(node);  ...  picker.NoteEnded(node, outcome, now);
+//
+// Two random candidates, the less loaded of them; own domain first, then own region, then the other
+// region. Costs one pass over the members of the service.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <variant>
+
+#include "decisions/overload/level_memory.h"
+#include "util/clock.h"
+#include "util/random.h"
+#include "values/generated/calls.h"
+
+namespace jackdawwind {
+
+struct PickRequest
+{
+  std::string service;
+  /// Rank of the call against admission levels; see LevelMemory.
+  std::uint32_t rank = 0;
+  /// Nodes that earlier attempts of the call went to; taken again only when no other is left.
+  std::set<std::string> tried;
+};
+
+class Picker
+{
+public:
+  struct Options
+  {
+    std::string domain;
+    std::string region;
+  };
+
+  Picker(Options aOptions, std::uint64_t aSeed);
+
+  /// A node, or kNoTarget (none ready) or kShedAtEntry (none admits the rank).
+  std::variant<PeerAddress, ResultCode> Pick(const PickRequest& aRequest,
+                                             const std::map<std::string, Member>& aMembers,
+                                             Time aNow);
+
+  void NoteSent(const std::string& aNode);
+  void NoteEnded(const std::string& aNode, const AttemptOutcome& aOutcome, Time aNow);
+  /// Forgets a node that left or died.
+  void Forget(const std::string& aNode);
+
+private:
+  Options options;
+  Random random;
+  LevelMemory levels;
+};
+
+} // namespace jackdawwind
--- /dev/null
+++ b/packages/values/text.h
@@ -0,0 +1,65 @@
+// Prints the field values of generated types for logs, test failures and golden files.
+#pragma once
+
+#include <chrono>
+#include <optional>
+#include <ostream>
+#include <string>
+#include <type_traits>
+#include <variant>
+#include <vector>
+
+namespace jackdawwind::text {
+
+/// Prints a value; durations in microseconds, strings without quotes.
+template<typename T>
+void
+Print(std::ostream& aOut, const T& aValue)
+{
+  if constexpr (std::is_same_v<T, bool>) {
+    aOut << (aValue ? "true" : "false");
+  } else {
+    aOut << aValue;
+  }
+}
+
+template<typename Rep, typename Period>
+void
+Print(std::ostream& aOut, const std::chrono::duration<Rep, Period>& aValue)
+{
+  aOut << std::chrono::duration_cast<std::chrono::microseconds>(aValue).count() << "us";
+}
+
+template<typename... Members>
+void
+Print(std::ostream& aOut, const std::variant<Members...>& aValue)
+{
+  std::visit([&aOut](const auto& aMember) { aOut << aMember; }, aValue);
+}
+
+template<typename T>
+void
+Print(std::ostream& aOut, const std::optional<T>& aValue)
+{
+  if (aValue) {
+    Print(aOut, *aValue);
+  } else {
+    aOut << "none";
+  }
+}
+
+template<typename T>
+void
+Print(std::ostream& aOut, const std::vector<T>& aValue)
+{
+  aOut << '[';
+  const char* gap = "";
+  for (const T& element : aValue) {
+    aOut << gap;
+    Print(aOut, element);
+    gap = " ";
+  }
+  aOut << ']';
+}
+
+} // namespace jackdawwind::text
