--- a/packages/decisions/config/control_state.h
+++ b/packages/decisions/config/control_state.h
@@ -77,6 +77,9 @@
   const std::map<std::string, Domain>& Domains() const { return this->domains; }
   const Policy& GetPolicy() const { return this->policy; }
 
+  /// Why the items do not fit together; empty when they do.
+  std::string Problem() const;
+
 private:
   void Put(const ConfigItem& aItem);
   void Remove(const std::string& aPath);
