Settle idempotency keys by claims in log order

Cause: a keyed booking must run at most once over a fleet without a store of its own, while the log loses answers and nodes crash. Ruled out: fence records to learn that a lost append is absent (a late append can still land after the fence); the same claim is appended again instead, and a claim that wins for nobody is released by its owner. Before: a trial that releases every own claim without a waiting call, the second record of a repeated append included, let keys run twice in NoKeyRunsTwiceUnderLossDelayAndCrashes. Not covered: the claim of a node that crashed after its append was sent stays held for the claim window.

--- /dev/null
+++ b/packages/decisions/claims/claim_ledger.cc
@@ -0,0 +1,161 @@
+#include "decisions/claims/claim_ledger.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jackdawwind {
+
+namespace {
+
+constexpr Duration kMinBatchDelay = std::chrono::milliseconds(50);
+/// Keeps the appends of a whole fleet below 300 a second; the log takes several hundred.
+constexpr Duration kBatchDelayPerNode = std::chrono::microseconds(3'400);
+
+/// Deterministic over the fleet: every node must find the same shard for a key (FNV-1a).
+std::uint64_t
+ShardHash(const std::string& aKey)
+{
+  constexpr std::uint64_t kOffsetBasis = 14695981039346656037ULL;
+  constexpr std::uint64_t kPrime = 1099511628211ULL;
+  std::uint64_t hash = kOffsetBasis;
+  for (const char byte : aKey) {
+    hash = (hash ^ static_cast<unsigned char>(byte)) * kPrime;
+  }
+  return hash;
+}
+
+} // namespace
+
+ClaimLedger::ClaimLedger(Options aOptions, TicketSource& aTickets)
+  : options(std::move(aOptions))
+  , tickets(aTickets)
+  , batchDelay(kMinBatchDelay)
+{
+}
+
+void
+ClaimLedger::SetFleetSize(std::size_t aNodes)
+{
+  const Duration perFleet = kBatchDelayPerNode * static_cast<Duration::rep>(aNodes);
+  this->batchDelay = std::max(kMinBatchDelay, perFleet);
+}
+
+void
+ClaimLedger::Request(const ClaimRequest& aRequest, Time aNow, Effects& aEffects)
+{
+  ClaimShard& shard = this->ShardOf(aRequest.key);
+  const std::uint64_t number = ++this->lastNumber;
+  this->waiting.emplace(aRequest.exchange, Place{ &shard, number });
+  const std::chrono::microseconds wall = this->options.wallAtZero + aNow.time_since_epoch();
+  shard.Request(aRequest, number, wall, aNow, aEffects, this->decisions);
+  shard.Poll(aNow, this->batchDelay, aEffects, this->decisions);
+}
+
+void
+ClaimLedger::Abandon(std::uint64_t aExchange)
+{
+  const std::map<std::uint64_t, Place>::iterator found = this->waiting.find(aExchange);
+  if (found != this->waiting.end()) {
+    found->second.shard->Abandon(found->second.number);
+    this->waiting.erase(found);
+  }
+}
+
+std::vector<ClaimDecision>
+ClaimLedger::TakeDecisions()
+{
+  for (const std::pair<const std::string, std::unique_ptr<ClaimShard>>& entry : this->shards) {
+    this->Collect(*entry.second);
+  }
+  for (const ClaimDecision& decision : this->decisions) {
+    this->waiting.erase(decision.exchange);
+  }
+  return std::exchange(this->decisions, {});
+}
+
+void
+ClaimLedger::Collect(ClaimShard& aShard)
+{
+  for (std::pair<const std::uint64_t, Claim>& entry : aShard.TakeWon()) {
+    this->held.emplace(entry.first, Held{ &aShard, std::move(entry.second) });
+  }
+}
+
+void
+ClaimLedger::Release(std::uint64_t aExchange)
+{
+  const std::map<std::uint64_t, Held>::iterator found = this->held.find(aExchange);
+  if (found != this->held.end()) {
+    found->second.shard->Release(found->second.claim);
+    this->held.erase(found);
+  }
+}
+
+void
+ClaimLedger::Complete(std::uint64_t aExchange, std::uint32_t aStatus)
+{
+  const std::map<std::uint64_t, Held>::iterator found = this->held.find(aExchange);
+  if (found != this->held.end()) {
+    found->second.shard->Complete(found->second.claim, aStatus);
+    this->held.erase(found);
+  }
+}
+
+void
+ClaimLedger::KeepClaimed(std::uint64_t aExchange)
+{
+  this->held.erase(aExchange);
+}
+
+void
+ClaimLedger::Receive(const LogRead& aRead)
+{
+  const std::map<std::string, std::unique_ptr<ClaimShard>>::iterator found =
+    this->shards.find(aRead.Stream());
+  if (found != this->shards.end()) {
+    found->second->Receive(aRead, this->decisions);
+  }
+}
+
+void
+ClaimLedger::Receive(const LogAppended& aAppended, Time aNow)
+{
+  for (const std::pair<const std::string, std::unique_ptr<ClaimShard>>& entry : this->shards) {
+    if (entry.second->Receive(aAppended, aNow)) {
+      return;
+    }
+  }
+}
+
+void
+ClaimLedger::Poll(Time aNow, Effects& aEffects)
+{
+  for (const std::pair<const std::string, std::unique_ptr<ClaimShard>>& entry : this->shards) {
+    entry.second->Poll(aNow, this->batchDelay, aEffects, this->decisions);
+  }
+}
+
+Time
+ClaimLedger::NextWake() const
+{
+  Time wake = Time::max();
+  for (const std::pair<const std::string, std::unique_ptr<ClaimShard>>& entry : this->shards) {
+    wake = std::min(wake, entry.second->NextWake());
+  }
+  return wake;
+}
+
+ClaimShard&
+ClaimLedger::ShardOf(const std::string& aKey)
+{
+  const std::uint64_t index = ShardHash(aKey) % std::max<std::uint32_t>(this->options.shards, 1);
+  const std::string stream = "claims-" + std::to_string(index);
+  std::unique_ptr<ClaimShard>& shard = this->shards[stream];
+  if (!shard) {
+    shard = std::make_unique<ClaimShard>(
+      ClaimShard::Options{ stream, this->options.owner, this->options.window }, this->tickets);
+  }
+  return *shard;
+}
+
+} // namespace jackdawwind
--- a/packages/decisions/claims/claim_ledger.h
+++ b/packages/decisions/claims/claim_ledger.h
@@ -3,47 +3,24 @@
 //
 //   ledger.Request(claimRequest, now, effects);
 //   for (const ClaimDecision& decision : ledger.TakeDecisions()) { ... }  // won, or why not
-//   ledger.Finish(exchange, ClaimEnd::kNotRun, ...);                      // releases the key
+//   ledger.Complete(exchange, status, now);      // or Release, or KeepClaimed
 //
-// A claim costs part of one append per 50 ms and shard. Memory: one entry per key in the claim
-// window.
+// Keys are spread over shards, one log stream each. Cost: part of one append per batch and shard,
+// and one table entry per key and claim window at every node that has settled a key of the shard.
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <map>
-#include <optional>
+#include <memory>
 #include <string>
-#include <variant>
 #include <vector>
 
+#include "decisions/claims/claim_shard.h"
 #include "decisions/effects.h"
 #include "util/clock.h"
 
 namespace jackdawwind {
 
-/// A keyed call that must not run before its claim is settled.
-struct ClaimRequest
-{
-  std::uint64_t exchange = 0;
-  std::string organisation;
-  /// Hash of the idempotency key.
-  std::string key;
-  std::string fingerprint;
-  /// The claim is refused as unsettled at this time.
-  Time deadline{};
-};
-
-/// kOk: the claim won and the call may run. Otherwise the refusal.
-struct ClaimDecision
-{
-  std::uint64_t exchange = 0;
-  ResultCode code = ResultCode::kOk;
-  /// Run state of a refusal; kRan when an outcome of the earlier call is known.
-  RunState run = RunState::kNotRun;
-  friend bool operator==(const ClaimDecision&, const ClaimDecision&) = default;
-};
-
 class ClaimLedger
 {
 public:
@@ -51,34 +28,58 @@
   {
     /// Node id and incarnation.
     std::string owner;
-    std::uint32_t shards = 16;
+    std::uint32_t shards = 1;
     Duration window{};
-    Duration batchDelay = std::chrono::milliseconds(50);
+    /// Wall time at the clock's zero.
+    std::chrono::microseconds wallAtZero{};
   };
 
   ClaimLedger(Options aOptions, TicketSource& aTickets);
 
+  /// Stretches the time between appends, so that the whole fleet stays below what the log takes.
+  void SetFleetSize(std::size_t aNodes);
+
   void Request(const ClaimRequest& aRequest, Time aNow, Effects& aEffects);
-  void Abandon(std::uint64_t aExchange, Time aNow);
+  /// The caller has gone; a claim that still wins is released.
+  void Abandon(std::uint64_t aExchange);
   std::vector<ClaimDecision> TakeDecisions();
 
-  /// The call of a won claim was proved not run: releases the key for the next claim.
-  void Release(std::uint64_t aExchange, Time aNow);
-  /// The call of a won claim was answered by the target.
-  void Complete(std::uint64_t aExchange, std::uint32_t aStatus, Time aNow);
+  /// The call of a won claim was proved not run: lets the next claim hold the key.
+  void Release(std::uint64_t aExchange);
+  /// The call of a won claim was answered by the target with this HTTP status.
+  void Complete(std::uint64_t aExchange, std::uint32_t aStatus);
   /// The call of a won claim may have run; the key stays claimed.
-  void Leave(std::uint64_t aExchange);
+  void KeepClaimed(std::uint64_t aExchange);
 
-  void Receive(const LogRead& aRead, Time aNow, Effects& aEffects);
-  void Receive(const LogReadFailed& aFailure, Time aNow, Effects& aEffects);
-  void Receive(const LogAppended& aAppended, Time aNow, Effects& aEffects);
+  void Receive(const LogRead& aRead);
+  void Receive(const LogAppended& aAppended, Time aNow);
 
   void Poll(Time aNow, Effects& aEffects);
   Time NextWake() const;
 
 private:
+  struct Place
+  {
+    ClaimShard* shard = nullptr;
+    std::uint64_t number = 0;
+  };
+  struct Held
+  {
+    ClaimShard* shard = nullptr;
+    Claim claim;
+  };
+
+  ClaimShard& ShardOf(const std::string& aKey);
+  void Collect(ClaimShard& aShard);
+
   Options options;
   TicketSource& tickets;
+  std::map<std::string, std::unique_ptr<ClaimShard>> shards;
+  std::map<std::uint64_t, Place> waiting;
+  std::map<std::uint64_t, Held> held;
+  std::vector<ClaimDecision> decisions;
+  std::uint64_t lastNumber = 0;
+  Duration batchDelay{};
 };
 
 } // namespace jackdawwind
--- /dev/null
+++ b/packages/decisions/claims/claim_shard.cc
@@ -0,0 +1,221 @@
+#include "decisions/claims/claim_shard.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace jackdawwind {
+
+namespace {
+
+constexpr std::size_t kMaxBatch = 500;
+/// Bounds the memory of a node whose log service has gone.
+constexpr std::size_t kMaxPending = 10'000;
+constexpr Duration kMinBackoff = std::chrono::milliseconds(100);
+constexpr Duration kMaxBackoff = std::chrono::seconds(2);
+
+} // namespace
+
+ClaimShard::ClaimShard(Options aOptions, TicketSource& aTickets)
+  : options(std::move(aOptions))
+  , tickets(aTickets)
+  , table(this->options.window)
+{
+}
+
+void
+ClaimShard::Request(const ClaimRequest& aRequest,
+                    std::uint64_t aNumber,
+                    std::chrono::microseconds aWall,
+                    Time aNow,
+                    Effects& aEffects,
+                    std::vector<ClaimDecision>& aDecisions)
+{
+  if (!this->following) {
+    this->following = true;
+    aEffects.push_back(FollowLog({ .stream = this->options.stream, .from = 0 }));
+  }
+  if (this->pending.size() >= kMaxPending) {
+    aDecisions.push_back({ aRequest.exchange, ResultCode::kClaimUnsettled, RunState::kNotRun });
+    return;
+  }
+  const ClaimHolder* holder = this->table.Find(aRequest.organisation, aRequest.key, aWall);
+  if (this->caughtUp && holder != nullptr) {
+    // A later claim cannot win any more; an append would be wasted.
+    aDecisions.push_back(this->Loss(aRequest.exchange, *holder, aRequest.fingerprint));
+    return;
+  }
+  this->ForgetHandedOut(aWall);
+  const Claim claim({ .organisation = aRequest.organisation,
+                      .key = aRequest.key,
+                      .fingerprint = aRequest.fingerprint,
+                      .owner = this->options.owner,
+                      .number = aNumber,
+                      .at = aWall });
+  this->pending.emplace(aNumber, Pending{ claim, aRequest.exchange, aRequest.deadline });
+  this->toAppend.emplace_back(claim);
+  this->appendAt = std::max(this->appendAt, aNow);
+}
+
+void
+ClaimShard::Abandon(std::uint64_t aNumber)
+{
+  this->pending.erase(aNumber);
+}
+
+void
+ClaimShard::Release(const Claim& aClaim)
+{
+  this->handedOut.erase(aClaim.Number());
+  this->toAppend.emplace_back(ClaimRelease({ .organisation = aClaim.GetOrganisation(),
+                                             .key = aClaim.Key(),
+                                             .owner = aClaim.Owner(),
+                                             .number = aClaim.Number() }));
+}
+
+void
+ClaimShard::Complete(const Claim& aClaim, std::uint32_t aStatus)
+{
+  this->toAppend.emplace_back(ClaimOutcome({ .organisation = aClaim.GetOrganisation(),
+                                             .key = aClaim.Key(),
+                                             .owner = aClaim.Owner(),
+                                             .number = aClaim.Number(),
+                                             .status = aStatus }));
+}
+
+void
+ClaimShard::Receive(const LogRead& aRead, std::vector<ClaimDecision>& aDecisions)
+{
+  for (const LogRecord& record : aRead.Records()) {
+    if (record.Offset() < this->nextOffset) {
+      continue;
+    }
+    this->nextOffset = record.Offset() + 1;
+    this->table.Apply(record.GetRecord());
+    const Claim* claim = std::get_if<Claim>(&record.GetRecord());
+    if (claim != nullptr && claim->Owner() == this->options.owner) {
+      this->Decide(*claim, aDecisions);
+    }
+  }
+  this->caughtUp = aRead.Next() >= aRead.End();
+}
+
+void
+ClaimShard::Decide(const Claim& aClaim, std::vector<ClaimDecision>& aDecisions)
+{
+  const ClaimHolder* holder = this->table.Find(aClaim.GetOrganisation(), aClaim.Key(), aClaim.At());
+  const bool holds = holder != nullptr && holder->id == ClaimId{ aClaim.Owner(), aClaim.Number() };
+  const std::map<std::uint64_t, Pending>::iterator waiting = this->pending.find(aClaim.Number());
+  if (waiting != this->pending.end()) {
+    if (holds) {
+      this->won.emplace(waiting->second.exchange, aClaim);
+      this->handedOut.emplace(aClaim.Number(), aClaim.At());
+      aDecisions.push_back({ waiting->second.exchange, ResultCode::kOk, RunState::kNotRun });
+    } else if (holder != nullptr) {
+      aDecisions.push_back(this->Loss(waiting->second.exchange, *holder, aClaim.Fingerprint()));
+    }
+    this->pending.erase(waiting);
+    return;
+  }
+  if (holds && !this->handedOut.contains(aClaim.Number())) {
+    // The caller was refused as not run, or has gone: without a release the key would stay claimed.
+    this->Release(aClaim);
+  }
+}
+
+void
+ClaimShard::ForgetHandedOut(std::chrono::microseconds aWall)
+{
+  // Numbers grow with time, so the oldest stand first.
+  while (!this->handedOut.empty() &&
+         this->handedOut.begin()->second + 2 * this->options.window < aWall) {
+    this->handedOut.erase(this->handedOut.begin());
+  }
+}
+
+ClaimDecision
+ClaimShard::Loss(std::uint64_t aExchange,
+                 const ClaimHolder& aHolder,
+                 const std::string& aFingerprint) const
+{
+  if (aHolder.fingerprint != aFingerprint) {
+    return { aExchange, ResultCode::kIdempotencyKeyReused, RunState::kNotRun };
+  }
+  const RunState run = aHolder.status ? RunState::kRan : RunState::kUnknown;
+  return { aExchange, ResultCode::kDuplicateRequest, run };
+}
+
+bool
+ClaimShard::Receive(const LogAppended& aAppended, Time aNow)
+{
+  if (this->ticket == 0 || aAppended.Ticket() != this->ticket) {
+    return false;
+  }
+  this->ticket = 0;
+  if (std::holds_alternative<Appended>(aAppended.Outcome())) {
+    this->backoff = Duration::zero();
+  } else {
+    // Appending the same records again is safe: a claim, release or outcome counts once.
+    this->toAppend.insert(this->toAppend.begin(), this->inFlight.begin(), this->inFlight.end());
+    this->backoff = std::clamp(2 * this->backoff, kMinBackoff, kMaxBackoff);
+    this->appendAt = aNow + this->backoff;
+  }
+  this->inFlight.clear();
+  return true;
+}
+
+void
+ClaimShard::Poll(Time aNow,
+                 Duration aBatchDelay,
+                 Effects& aEffects,
+                 std::vector<ClaimDecision>& aDecisions)
+{
+  this->ExpirePending(aNow, aDecisions);
+  if (this->toAppend.empty() || this->ticket != 0 || aNow < this->appendAt) {
+    return;
+  }
+  const std::size_t count = std::min(kMaxBatch, this->toAppend.size());
+  const std::deque<Record>::iterator end =
+    this->toAppend.begin() + static_cast<std::ptrdiff_t>(count);
+  this->inFlight.assign(this->toAppend.begin(), end);
+  this->toAppend.erase(this->toAppend.begin(), end);
+  this->ticket = this->tickets.Next();
+  this->appendAt = aNow + aBatchDelay;
+  aEffects.push_back(AppendLog(
+    { .ticket = this->ticket, .stream = this->options.stream, .records = this->inFlight }));
+}
+
+void
+ClaimShard::ExpirePending(Time aNow, std::vector<ClaimDecision>& aDecisions)
+{
+  std::map<std::uint64_t, Pending>::iterator next = this->pending.begin();
+  while (next != this->pending.end()) {
+    if (next->second.deadline > aNow) {
+      ++next;
+      continue;
+    }
+    aDecisions.push_back({ next->second.exchange, ResultCode::kClaimUnsettled, RunState::kNotRun });
+    next = this->pending.erase(next);
+  }
+}
+
+Time
+ClaimShard::NextWake() const
+{
+  Time wake = Time::max();
+  if (!this->toAppend.empty() && this->ticket == 0) {
+    wake = this->appendAt;
+  }
+  for (const std::pair<const std::uint64_t, Pending>& entry : this->pending) {
+    wake = std::min(wake, entry.second.deadline);
+  }
+  return wake;
+}
+
+std::map<std::uint64_t, Claim>
+ClaimShard::TakeWon()
+{
+  return std::exchange(this->won, {});
+}
+
+} // namespace jackdawwind
--- a/packages/decisions/config/control_state.cc
+++ b/packages/decisions/config/control_state.cc
@@ -172,8 +172,8 @@
     }
   }
   for (const std::pair<const std::string, KeyRecord>& entry : this->keys) {
-    if (this->FindOrganisation(entry.second.Organisation()) == nullptr) {
-      return "key " + entry.first + ": no organisation " + entry.second.Organisation();
+    if (this->FindOrganisation(entry.second.GetOrganisation()) == nullptr) {
+      return "key " + entry.first + ": no organisation " + entry.second.GetOrganisation();
     }
   }
   return ShareProblem(this->domains);
--- a/packages/wire/crypto.h
+++ b/packages/wire/crypto.h
@@ -6,7 +6,8 @@
 
 namespace jackdawwind::wire {
 
-/// BLAKE2b-256 of a text: 64 hexadecimal digits. Keys are random, so a plain hash does not reveal them.
+/// BLAKE2b-256 of a text: 64 hexadecimal digits. Tenant keys are random, so a plain hash hides
+/// them.
 std::string HashHex(std::string_view aText);
 
 /// First 16 bytes of HashHex, for fingerprints: 32 hexadecimal digits.
