--- a/packages/decisions/claims/claim_ledger.cc
+++ b/packages/decisions/claims/claim_ledger.cc
@@ -33,6 +33,13 @@
 {
 }
 
+void
+ClaimLedger::Configure(std::uint32_t aShards, Duration aWindow)
+{
+  this->shardCount = aShards;
+  this->window = aWindow;
+}
+
 void
 ClaimLedger::SetFleetSize(std::size_t aNodes)
 {
@@ -145,15 +152,25 @@
   return wake;
 }
 
+bool
+ClaimLedger::Idle() const
+{
+  return std::all_of(this->shards.begin(),
+                     this->shards.end(),
+                     [](const std::pair<const std::string, std::unique_ptr<ClaimShard>>& aEntry) {
+                       return aEntry.second->Idle();
+                     });
+}
+
 ClaimShard&
 ClaimLedger::ShardOf(const std::string& aKey)
 {
-  const std::uint64_t index = ShardHash(aKey) % std::max<std::uint32_t>(this->options.shards, 1);
+  const std::uint64_t index = ShardHash(aKey) % this->shardCount;
   const std::string stream = "claims-" + std::to_string(index);
   std::unique_ptr<ClaimShard>& shard = this->shards[stream];
   if (!shard) {
     shard = std::make_unique<ClaimShard>(
-      ClaimShard::Options{ stream, this->options.owner, this->options.window }, this->tickets);
+      ClaimShard::Options{ stream, this->options.owner, this->window }, this->tickets);
   }
   return *shard;
 }
--- a/packages/decisions/claims/claim_ledger.h
+++ b/packages/decisions/claims/claim_ledger.h
@@ -28,14 +28,15 @@
   {
     /// Node id and incarnation.
     std::string owner;
-    std::uint32_t shards = 1;
-    Duration window{};
     /// Wall time at the clock's zero.
     std::chrono::microseconds wallAtZero{};
   };
 
   ClaimLedger(Options aOptions, TicketSource& aTickets);
 
+  /// Number of claim streams and how long claims are honoured; a shard keeps the window it began
+  /// with.
+  void Configure(std::uint32_t aShards, Duration aWindow);
   /// Stretches the time between appends, so that the whole fleet stays below what the log takes.
   void SetFleetSize(std::size_t aNodes);
 
@@ -56,6 +57,8 @@
 
   void Poll(Time aNow, Effects& aEffects);
   Time NextWake() const;
+  /// Whether every record was appended.
+  bool Idle() const;
 
 private:
   struct Place
@@ -78,6 +81,8 @@
   std::map<std::uint64_t, Place> waiting;
   std::map<std::uint64_t, Held> held;
   std::vector<ClaimDecision> decisions;
+  std::uint32_t shardCount = 1;
+  Duration window{};
   std::uint64_t lastNumber = 0;
   Duration batchDelay{};
 };
--- a/packages/decisions/claims/claim_shard.h
+++ b/packages/decisions/claims/claim_shard.h
@@ -72,6 +72,8 @@
             Effects& aEffects,
             std::vector<ClaimDecision>& aDecisions);
   Time NextWake() const;
+  /// Whether every record was appended.
+  bool Idle() const { return this->toAppend.empty() && this->ticket == 0; }
 
   /// Claims that won since the last call, by exchange.
   std::map<std::uint64_t, Claim> TakeWon();
--- a/packages/decisions/node_core.h
+++ b/packages/decisions/node_core.h
@@ -31,6 +31,8 @@
     PeerAddress self;
     std::uint64_t incarnation = 0;
     std::uint64_t seed = 0;
+    /// Wall time since 1970 at the clock's zero.
+    std::chrono::microseconds wallAtZero{};
     /// Makes unguessable call and root ids.
     std::function<std::string()> makeId;
   };
--- a/packages/decisions/tests/claim_ledger_test.cc
+++ b/packages/decisions/tests/claim_ledger_test.cc
@@ -22,8 +22,9 @@
 struct FakeNode
 {
   explicit FakeNode(const std::string& aOwner)
-    : ledger(ClaimLedger::Options{ .owner = aOwner, .window = kWindow }, tickets)
+    : ledger(ClaimLedger::Options{ .owner = aOwner }, tickets)
   {
+    this->ledger.Configure(1, kWindow);
   }
 
   void Poll(Time aNow) { this->ledger.Poll(aNow, this->effects); }
