Add the admission controller: limit, queue, level and shedding orders

Ruled out: CoDel's minimum sojourn as the delay signal (with strict class order the important calls always wait near zero, so the level would never rise); a time-expired latency minimum (a long slow phase raises it by its own congestion). Instead the level watches the longest wait above its next step, and the minimum rises only when halving the limit did not help.

--- a/packages/decisions/overload/admission_controller.h
+++ b/packages/decisions/overload/admission_controller.h
@@ -8,29 +8,25 @@
 // Every offered call gets exactly one verdict, start or reject, unless it is abandoned first.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
 #include <variant>
 #include <vector>
 
+#include "decisions/overload/admission_level.h"
+#include "decisions/overload/admission_queue.h"
+#include "decisions/overload/concurrency_limit.h"
+#include "decisions/overload/pending_call.h"
+#include "decisions/overload/service_time.h"
+#include "decisions/overload/shed_policy.h"
 #include "util/clock.h"
 #include "values/generated/calls.h"
 #include "values/generated/configuration.h"
 
 namespace jackdawwind {
 
-/// A call that asks to run at the target.
-struct PendingCall
-{
-  std::uint64_t exchange = 0;
-  std::string organisation;
-  Importance importance = Importance::kNormal;
-  std::uint32_t priority = 0;
-  Time arrived{};
-  Time deadline{};
-};
-
 /// Run the call now.
 struct StartCall
 {
@@ -80,7 +76,31 @@
   LimitStatus Status() const;
 
 private:
-  // Limit, queue, level and policy are classes of their own beside this file.
+  struct RunningCall
+  {
+    Time started{};
+    Importance importance = Importance::kNormal;
+  };
+
+  void Start(const PendingCall& aCall, Time aNow, AdmissionVerdicts& aVerdicts);
+  /// Drops expired calls, starts what fits and adapts the level.
+  void Advance(Time aNow, AdmissionVerdicts& aVerdicts);
+  bool HasFreeSlot() const { return this->running.size() < this->limit.Value(); }
+  /// Whether the call cannot end in time.
+  bool TooLate(const PendingCall& aCall, Time aNow) const;
+  /// Zero while nothing runs: an idle target is tried whatever was measured before.
+  Duration ExpectedFor(const PendingCall& aCall, Time aNow) const;
+
+  PolicyKind kind = PolicyKind::kGoodput;
+  TargetState state = TargetState::kReady;
+  ShedPolicy policy;
+  ConcurrencyLimit limit;
+  AdmissionQueue queue;
+  AdmissionLevel level;
+  ServiceTime serviceTime;
+  std::map<std::uint64_t, RunningCall> running;
+  /// Time of the last event; NextWake() judges by it.
+  Time seen{};
 };
 
 } // namespace jackdawwind
--- /dev/null
+++ b/packages/decisions/overload/concurrency_limit.cc
@@ -0,0 +1,164 @@
+#include "decisions/overload/concurrency_limit.h"
+
+#include <algorithm>
+
+namespace jackdawwind {
+
+namespace {
+
+/// A cold target begins with this part of its slots.
+constexpr double kColdPart = 0.125;
+
+/// The lowest of many window means is about 0.7 of the true mean when latencies are exponential and
+/// a window has 50 samples; twice that leaves room for ordinary variation.
+constexpr double kTolerance = 2.0;
+constexpr std::uint32_t kWindowSamples = 50;
+/// A target with few calls closes its window early.
+constexpr Duration kWindowTime = std::chrono::seconds(1);
+constexpr std::uint32_t kMinWindowSamples = 10;
+
+constexpr double kLatencyFactor = 0.8;
+constexpr double kRefusedFactor = 0.7;
+
+/// Halving the limit has helped when the latency fell below this part.
+constexpr double kHelped = 0.75;
+constexpr double kHalf = 0.5;
+
+constexpr Duration kCheckInterval = std::chrono::seconds(10);
+
+Duration
+Scaled(Duration aValue, double aFactor)
+{
+  return std::chrono::duration_cast<Duration>(aValue * aFactor);
+}
+
+} // namespace
+
+ConcurrencyLimit::ConcurrencyLimit()
+{
+  this->SetSlots(1);
+}
+
+void
+ConcurrencyLimit::SetSlots(std::uint32_t aSlots)
+{
+  this->slots = std::max(aSlots, 1U);
+  this->limit = std::min(this->limit, static_cast<double>(this->slots));
+}
+
+void
+ConcurrencyLimit::ColdStart(Time aNow)
+{
+  this->limit = std::max(1.0, this->slots * kColdPart);
+  this->minimum = Duration::zero();
+  this->decreased = aNow;
+  this->slowLimit = 0;
+  this->nextCheck = Time::max();
+  this->checkedLimit = 0;
+  this->StartWindow();
+}
+
+void
+ConcurrencyLimit::NoteAnswered(const LimitSample& aSample)
+{
+  if (aSample.started < this->decreased) {
+    return;
+  }
+  if (this->samples == 0) {
+    this->windowStarted = aSample.ended;
+  }
+  ++this->samples;
+  this->sum += aSample.ended - aSample.started;
+  if (aSample.limited && this->checkedLimit == 0) {
+    this->limit = std::min(this->limit + 1 / this->limit, static_cast<double>(this->slots));
+  }
+  const bool late = aSample.ended - this->windowStarted >= kWindowTime;
+  if (this->samples >= kWindowSamples || (late && this->samples >= kMinWindowSamples)) {
+    this->CloseWindow(aSample.ended);
+  }
+}
+
+void
+ConcurrencyLimit::NoteRefused(const LimitSample& aSample)
+{
+  if (aSample.started < this->decreased) {
+    return;
+  }
+  this->slowLimit = 0;
+  this->checkedLimit = 0;
+  this->Decrease(kRefusedFactor, aSample.ended);
+}
+
+std::uint32_t
+ConcurrencyLimit::Value() const
+{
+  return static_cast<std::uint32_t>(this->limit);
+}
+
+void
+ConcurrencyLimit::CloseWindow(Time aNow)
+{
+  const Duration mean = this->sum / this->samples;
+  this->StartWindow();
+  if (this->checkedLimit > 0) {
+    this->EndCheck(mean);
+    return;
+  }
+  if (this->minimum == Duration::zero() || mean < this->minimum) {
+    this->minimum = mean;
+  }
+  if (mean > Scaled(this->minimum, kTolerance)) {
+    this->HandleSlowWindow(mean, aNow);
+    return;
+  }
+  this->slowLimit = 0;
+  if (aNow >= this->nextCheck) {
+    this->nextCheck = aNow + kCheckInterval;
+    this->checkedLimit = this->limit;
+    this->Decrease(kHalf, aNow);
+  }
+}
+
+void
+ConcurrencyLimit::HandleSlowWindow(Duration aMean, Time aNow)
+{
+  if (this->slowLimit == 0) {
+    this->slowLimit = this->limit;
+    this->slowMean = aMean;
+  } else if (this->limit <= std::max(1.0, this->slowLimit * kHalf)) {
+    if (aMean > Scaled(this->slowMean, kHelped)) {
+      this->minimum = aMean;
+      this->nextCheck = aNow + kCheckInterval;
+      this->slowLimit = 0;
+      return;
+    }
+    this->slowLimit = this->limit;
+    this->slowMean = aMean;
+  }
+  this->Decrease(kLatencyFactor, aNow);
+}
+
+void
+ConcurrencyLimit::EndCheck(Duration aMean)
+{
+  this->minimum = std::min(this->minimum, aMean);
+  this->limit = std::min(this->checkedLimit, static_cast<double>(this->slots));
+  this->checkedLimit = 0;
+}
+
+void
+ConcurrencyLimit::Decrease(double aFactor, Time aNow)
+{
+  this->limit = std::max(1.0, this->limit * aFactor);
+  this->decreased = aNow;
+  this->StartWindow();
+}
+
+void
+ConcurrencyLimit::StartWindow()
+{
+  this->samples = 0;
+  this->sum = Duration::zero();
+}
+
+} // namespace jackdawwind
