Choose queued calls by scanning instead of comparing by shares

Cause: comparing two calls under the fairness policy looked up and decayed two shares for every comparison. Ruled out: sorted containers, because every start changes the order. Result: shares are computed once per choice. The limit falls after three refusals in a window rather than one, so that a route which always refuses does not hold it near 1.

--- a/packages/decisions/overload/admission_controller.cc
+++ b/packages/decisions/overload/admission_controller.cc
@@ -154,8 +154,7 @@
   if (this->state != TargetState::kReady) {
     return this->queue.Size() > 0 ? this->seen : Time::max();
   }
-  const Time expiry = this->queue.NextExpiry(
-    [this](const PendingCall& aCall) { return this->ExpectedFor(aCall, this->seen); });
+  const Time expiry = this->queue.NextExpiry(this->Expected(this->seen));
   return std::min(expiry, this->level.NextStep());
 }
 
@@ -198,10 +197,7 @@
     }
     return;
   }
-  const AdmissionQueue::Expected expected = [&](const PendingCall& aCall) {
-    return this->ExpectedFor(aCall, aNow);
-  };
-  for (const DroppedCall& dropped : this->queue.DropExpired(expected, aNow)) {
+  for (const DroppedCall& dropped : this->queue.DropExpired(this->Expected(aNow), aNow)) {
     AddRejection(aVerdicts, dropped.call, dropped.code, aNow);
   }
   while (this->HasFreeSlot() && this->queue.Size() > 0) {
@@ -214,13 +210,14 @@
 bool
 AdmissionController::TooLate(const PendingCall& aCall, Time aNow) const
 {
-  return aCall.deadline <= aNow || aCall.deadline - aNow < this->ExpectedFor(aCall, aNow);
+  const Duration expected = this->Expected(aNow)[static_cast<std::size_t>(aCall.importance)];
+  return aCall.deadline <= aNow || aCall.deadline - aNow < expected;
 }
 
-Duration
-AdmissionController::ExpectedFor(const PendingCall& aCall, Time aNow) const
+ExpectedTimes
+AdmissionController::Expected(Time aNow) const
 {
-  return this->running.empty() ? Duration::zero() : this->serviceTime.Of(aCall.importance, aNow);
+  return this->running.empty() ? ExpectedTimes{} : this->serviceTime.Expected(aNow);
 }
 
 } // namespace jackdawwind
--- a/packages/decisions/overload/admission_controller.h
+++ b/packages/decisions/overload/admission_controller.h
@@ -8,7 +8,6 @@
 // Every offered call gets exactly one verdict, start or reject, unless it is abandoned first.
 #pragma once
 
-#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -89,7 +88,7 @@
   /// Whether the call cannot end in time.
   bool TooLate(const PendingCall& aCall, Time aNow) const;
   /// Zero while nothing runs: an idle target is tried whatever was measured before.
-  Duration ExpectedFor(const PendingCall& aCall, Time aNow) const;
+  ExpectedTimes Expected(Time aNow) const;
 
   PolicyKind kind = PolicyKind::kGoodput;
   TargetState state = TargetState::kReady;
--- a/packages/decisions/overload/admission_queue.cc
+++ b/packages/decisions/overload/admission_queue.cc
@@ -26,11 +26,7 @@
     return std::nullopt;
   }
   const QueueView view{ .queued = this->byOrganisation, .overloaded = aOverloaded, .now = aNow };
-  return this->Take(std::min_element(this->calls.begin(),
-                                     this->calls.end(),
-                                     [&](const PendingCall& aLeft, const PendingCall& aRight) {
-                                       return ShedsBefore(aPolicy, aLeft, aRight, view);
-                                     }));
+  return this->Take(NextToShed(aPolicy, this->calls, view));
 }
 
 std::optional<PendingCall>
@@ -40,32 +36,26 @@
     return std::nullopt;
   }
   const QueueView view{ .queued = this->byOrganisation, .overloaded = aOverloaded, .now = aNow };
-  return this->Take(std::min_element(this->calls.begin(),
-                                     this->calls.end(),
-                                     [&](const PendingCall& aLeft, const PendingCall& aRight) {
-                                       return RunsBefore(aPolicy, aLeft, aRight, view);
-                                     }));
+  return this->Take(NextToRun(aPolicy, this->calls, view));
 }
 
 std::vector<DroppedCall>
-AdmissionQueue::DropExpired(const Expected& aExpected, Time aNow)
+AdmissionQueue::DropExpired(const ExpectedTimes& aExpected, Time aNow)
 {
   std::vector<DroppedCall> dropped;
-  std::vector<PendingCall>::iterator position = this->calls.begin();
-  while (position != this->calls.end()) {
-    if (this->ExpiryOf(*position, aExpected) > aNow) {
-      ++position;
+  for (std::size_t index = 0; index < this->calls.size();) {
+    const PendingCall& call = this->calls[index];
+    if (this->ExpiryOf(call, aExpected) > aNow) {
+      ++index;
       continue;
     }
     ResultCode code = ResultCode::kShedAtTarget;
-    if (position->deadline <= aNow) {
+    if (call.deadline <= aNow) {
       code = ResultCode::kQueueExpired;
-    } else if (position->deadline - aExpected(*position) <= aNow) {
+    } else if (call.arrived + this->timeout > aNow) {
       code = ResultCode::kDeadlineTooShort;
     }
-    const std::ptrdiff_t index = position - this->calls.begin();
-    dropped.push_back({ .call = this->Take(position), .code = code });
-    position = this->calls.begin() + index;
+    dropped.push_back({ .call = this->Take(index), .code = code });
   }
   return dropped;
 }
@@ -80,15 +70,13 @@
 bool
 AdmissionQueue::Remove(std::uint64_t aExchange)
 {
-  const std::vector<PendingCall>::iterator found =
-    std::find_if(this->calls.begin(), this->calls.end(), [&](const PendingCall& aCall) {
-      return aCall.exchange == aExchange;
-    });
-  if (found == this->calls.end()) {
-    return false;
+  for (std::size_t index = 0; index < this->calls.size(); ++index) {
+    if (this->calls[index].exchange == aExchange) {
+      this->Take(index);
+      return true;
+    }
   }
-  this->Take(found);
-  return true;
+  return false;
 }
 
 Duration
@@ -104,7 +92,7 @@
 }
 
 Time
-AdmissionQueue::NextExpiry(const Expected& aExpected) const
+AdmissionQueue::NextExpiry(const ExpectedTimes& aExpected) const
 {
   Time next = Time::max();
   for (const PendingCall& call : this->calls) {
@@ -114,16 +102,18 @@
 }
 
 Time
-AdmissionQueue::ExpiryOf(const PendingCall& aCall, const Expected& aExpected) const
+AdmissionQueue::ExpiryOf(const PendingCall& aCall, const ExpectedTimes& aExpected) const
 {
-  return std::min(aCall.arrived + this->timeout, aCall.deadline - aExpected(aCall));
+  const Duration expected = aExpected[static_cast<std::size_t>(aCall.importance)];
+  return std::min(aCall.arrived + this->timeout, aCall.deadline - expected);
 }
 
 PendingCall
-AdmissionQueue::Take(std::vector<PendingCall>::iterator aPosition)
+AdmissionQueue::Take(std::size_t aIndex)
 {
-  PendingCall call = std::move(*aPosition);
-  this->calls.erase(aPosition);
+  std::swap(this->calls[aIndex], this->calls.back());
+  PendingCall call = std::move(this->calls.back());
+  this->calls.pop_back();
   const std::map<std::string, std::uint32_t>::iterator count =
     this->byOrganisation.find(call.organisation);
   if (--count->second == 0) {
--- a/packages/decisions/overload/admission_queue.h
+++ b/packages/decisions/overload/admission_queue.h
@@ -1,23 +1,24 @@
 // Calls that wait for a slot of the target: bounded in length and in time.
 //
-//   std::optional<PendingCall> evicted = queue.Push(call, policy, view);
+//   std::optional<PendingCall> evicted = queue.Push(call, policy, overloaded, now);
 //   std::vector<DroppedCall> expired = queue.DropExpired(expected, now);
 //   std::optional<PendingCall> next = queue.Pop(policy, overloaded, now);
 //
-// Cost: linear in the queued calls per operation; the length is bounded by a few times the slots of
-// one target, and the order of FairnessPolicy changes with every start. Guarantees: never holds
-// more than the capacity; every pushed call leaves exactly once.
+// Cost: linear in the queued calls per operation. The length is bounded by a few times the slots of
+// one target, and FairnessPolicy changes its order with every start, which a sorted container
+// cannot follow. Guarantees: never holds more than the capacity; every pushed call leaves exactly
+// once.
 #pragma once
 
 #include <cstddef>
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "decisions/overload/pending_call.h"
+#include "decisions/overload/service_time.h"
 #include "decisions/overload/shed_policy.h"
 #include "util/clock.h"
 #include "values/generated/results.h"
@@ -34,9 +35,6 @@
 class AdmissionQueue
 {
 public:
-  /// Expected service time of a call.
-  using Expected = std::function<Duration(const PendingCall&)>;
-
   /// aCapacity must be at least 1. Calls over a smaller capacity stay until they run or expire.
   void Configure(std::size_t aCapacity, Duration aTimeout);
 
@@ -49,7 +47,7 @@
   std::optional<PendingCall> Pop(const ShedPolicy& aPolicy, bool aOverloaded, Time aNow);
   /// Removes calls past their deadline (kQueueExpired), calls with less than their expected service
   /// time left (kDeadlineTooShort) and calls queued for the timeout (kShedAtTarget).
-  std::vector<DroppedCall> DropExpired(const Expected& aExpected, Time aNow);
+  std::vector<DroppedCall> DropExpired(const ExpectedTimes& aExpected, Time aNow);
   /// Removes all calls.
   std::vector<PendingCall> Clear();
   /// Removes one call; false when it is not queued.
@@ -59,11 +57,11 @@
   /// Longest time that a call with at least this rank has waited; zero without such a call.
   Duration Delay(std::uint32_t aRank, Time aNow) const;
   /// Earliest time at which DropExpired has work.
-  Time NextExpiry(const Expected& aExpected) const;
+  Time NextExpiry(const ExpectedTimes& aExpected) const;
 
 private:
-  Time ExpiryOf(const PendingCall& aCall, const Expected& aExpected) const;
-  PendingCall Take(std::vector<PendingCall>::iterator aPosition);
+  Time ExpiryOf(const PendingCall& aCall, const ExpectedTimes& aExpected) const;
+  PendingCall Take(std::size_t aIndex);
 
   std::size_t capacity = 1;
   Duration timeout{};
--- a/packages/decisions/overload/concurrency_limit.cc
+++ b/packages/decisions/overload/concurrency_limit.cc
@@ -17,6 +17,11 @@
 constexpr Duration kWindowTime = std::chrono::seconds(1);
 constexpr std::uint32_t kMinWindowSamples = 10;
 
+/// Refusals in a window that mean overload. A target may refuse a few calls for reasons of their
+/// own, for example on a route whose dependency is down; acting on each would hold the limit
+/// near 1.
+constexpr std::uint32_t kWindowRefusals = 3;
+
 constexpr double kLatencyFactor = 0.8;
 constexpr double kRefusedFactor = 0.7;
 
@@ -64,16 +69,12 @@
   if (aSample.started < this->decreased) {
     return;
   }
-  if (this->samples == 0) {
-    this->windowStarted = aSample.ended;
-  }
-  ++this->samples;
+  this->Count(aSample.ended);
   this->sum += aSample.ended - aSample.started;
   if (aSample.limited && this->checkedLimit == 0) {
     this->limit = std::min(this->limit + 1 / this->limit, static_cast<double>(this->slots));
   }
-  const bool late = aSample.ended - this->windowStarted >= kWindowTime;
-  if (this->samples >= kWindowSamples || (late && this->samples >= kMinWindowSamples)) {
+  if (this->WindowIsFull(aSample.ended)) {
     this->CloseWindow(aSample.ended);
   }
 }
@@ -84,9 +85,15 @@
   if (aSample.started < this->decreased) {
     return;
   }
-  this->slowLimit = 0;
-  this->checkedLimit = 0;
-  this->Decrease(kRefusedFactor, aSample.ended);
+  this->Count(aSample.ended);
+  ++this->refusals;
+  if (this->refusals >= kWindowRefusals) {
+    this->slowLimit = 0;
+    this->checkedLimit = 0;
+    this->Decrease(kRefusedFactor, aSample.ended);
+  } else if (this->WindowIsFull(aSample.ended)) {
+    this->CloseWindow(aSample.ended);
+  }
 }
 
 std::uint32_t
@@ -95,10 +102,26 @@
   return static_cast<std::uint32_t>(this->limit);
 }
 
+void
+ConcurrencyLimit::Count(Time aEnded)
+{
+  if (this->samples == 0) {
+    this->windowStarted = aEnded;
+  }
+  ++this->samples;
+}
+
+bool
+ConcurrencyLimit::WindowIsFull(Time aNow) const
+{
+  const bool late = aNow - this->windowStarted >= kWindowTime;
+  return this->samples >= kWindowSamples || (late && this->samples >= kMinWindowSamples);
+}
+
 void
 ConcurrencyLimit::CloseWindow(Time aNow)
 {
-  const Duration mean = this->sum / this->samples;
+  const Duration mean = this->sum / (this->samples - this->refusals);
   this->StartWindow();
   if (this->checkedLimit > 0) {
     this->EndCheck(mean);
@@ -158,6 +181,7 @@
 ConcurrencyLimit::StartWindow()
 {
   this->samples = 0;
+  this->refusals = 0;
   this->sum = Duration::zero();
 }
 
--- a/packages/decisions/overload/concurrency_limit.h
+++ b/packages/decisions/overload/concurrency_limit.h
@@ -53,6 +53,8 @@
   Duration Minimum() const { return this->minimum; }
 
 private:
+  void Count(Time aEnded);
+  bool WindowIsFull(Time aNow) const;
   void CloseWindow(Time aNow);
   void Decrease(double aFactor, Time aNow);
   void StartWindow();
@@ -67,6 +69,7 @@
 
   // The present window.
   std::uint32_t samples = 0;
+  std::uint32_t refusals = 0;
   Duration sum{};
   Time windowStarted{};
 
--- a/packages/decisions/overload/service_time.cc
+++ b/packages/decisions/overload/service_time.cc
@@ -20,11 +20,15 @@
   estimate.at = aNow;
 }
 
-Duration
-ServiceTime::Of(Importance aImportance, Time aNow) const
+ExpectedTimes
+ServiceTime::Expected(Time aNow) const
 {
-  const Estimate& estimate = this->estimates[static_cast<std::size_t>(aImportance)];
-  return aNow - estimate.at <= kMemory ? estimate.mean : Duration::zero();
+  ExpectedTimes times{};
+  for (std::size_t index = 0; index < times.size(); ++index) {
+    const Estimate& estimate = this->estimates[index];
+    times[index] = aNow - estimate.at <= kMemory ? estimate.mean : Duration::zero();
+  }
+  return times;
 }
 
 } // namespace jackdawwind
--- a/packages/decisions/overload/service_time.h
+++ b/packages/decisions/overload/service_time.h
@@ -2,7 +2,7 @@
 //
 //   ServiceTime expected;
 //   expected.Note(Importance::kNormal, std::chrono::milliseconds(20), now);
-//   if (call.deadline - now < expected.Of(call.importance, now)) { ... }   // refuse early
+//   ExpectedTimes times = expected.Expected(now);   // calls with less time left are refused early
 //
 // Cost: constant. An estimate without news for 1 s counts as unknown, so that calls which it
 // refuses are tried again.
@@ -16,24 +16,25 @@
 
 namespace jackdawwind {
 
+/// Expected service times, indexed by importance class.
+using ExpectedTimes = std::array<Duration, static_cast<std::size_t>(Importance::kBulk) + 1>;
+
 class ServiceTime
 {
 public:
   /// A call of the class was answered after aLatency.
   void Note(Importance aImportance, Duration aLatency, Time aNow);
-  /// Smoothed mean latency of the class; zero when not known.
-  Duration Of(Importance aImportance, Time aNow) const;
+  /// Smoothed mean latency of each class; zero where not known.
+  ExpectedTimes Expected(Time aNow) const;
 
 private:
-  static constexpr std::size_t kClasses = static_cast<std::size_t>(Importance::kBulk) + 1;
-
   struct Estimate
   {
     Duration mean{};
     Time at{};
   };
 
-  std::array<Estimate, kClasses> estimates{};
+  std::array<Estimate, std::tuple_size_v<ExpectedTimes>> estimates{};
 };
 
 } // namespace jackdawwind
--- a/packages/decisions/overload/shed_policy.cc
+++ b/packages/decisions/overload/shed_policy.cc
@@ -1,6 +1,10 @@
 #include "decisions/overload/shed_policy.h"
 
+#include <algorithm>
 #include <cmath>
+#include <string_view>
+#include <tuple>
+#include <utility>
 
 #include "decisions/overload/level_memory.h"
 
@@ -8,29 +12,26 @@
 
 namespace {
 
-/// Time in which a start loses 63% of its weight. Longer than a burst of retries, shorter than the
-/// memory of an operator who looks at shares per second.
+/// Time in which a start loses 63% of its weight: long enough to average the bursts of one
+/// organisation, short enough that a quiet one gets no more than seconds of preference afterwards.
 constexpr std::chrono::duration<double> kShareMemory = std::chrono::seconds(2);
 
-bool
-Newer(const PendingCall& aLeft, const PendingCall& aRight)
-{
-  return aLeft.arrived != aRight.arrived ? aLeft.arrived > aRight.arrived
-                                         : aLeft.exchange > aRight.exchange;
-}
-
 double
 Decayed(double aValue, Duration aAge)
 {
   return aValue * std::exp(-std::chrono::duration<double>(aAge) / kShareMemory);
 }
 
-} // namespace
+/// Arrival order; the exchange decides between calls that arrived at the same time.
+bool
+Older(const PendingCall& aLeft, const PendingCall& aRight)
+{
+  return std::tie(aLeft.arrived, aLeft.exchange) < std::tie(aRight.arrived, aRight.exchange);
+}
 
+/// Class, then priority, then age.
 bool
-GoodputPolicy::RunsBefore(const PendingCall& aLeft,
-                          const PendingCall& aRight,
-                          const QueueView& aView) const
+RanksBefore(const PendingCall& aLeft, const PendingCall& aRight, bool aNewestFirst)
 {
   if (aLeft.importance != aRight.importance) {
     return aLeft.importance < aRight.importance;
@@ -38,15 +39,67 @@
   if (aLeft.priority != aRight.priority) {
     return aLeft.priority > aRight.priority;
   }
-  return aView.overloaded ? Newer(aLeft, aRight) : Newer(aRight, aLeft);
+  return aNewestFirst ? Older(aRight, aLeft) : Older(aLeft, aRight);
 }
 
 bool
-GoodputPolicy::ShedsBefore(const PendingCall& aLeft,
-                           const PendingCall& aRight,
-                           const QueueView& aView) const
+MoreImportant(const PendingCall& aLeft, const PendingCall& aRight)
+{
+  return aLeft.importance < aRight.importance;
+}
+
+template<typename Before>
+std::size_t
+IndexOfFirst(const std::vector<PendingCall>& aCalls, const Before& aBefore)
+{
+  return static_cast<std::size_t>(std::min_element(aCalls.begin(), aCalls.end(), aBefore) -
+                                  aCalls.begin());
+}
+
+/// Organisations with queued calls in the order of a figure and then of the name.
+using Standings = std::vector<std::pair<double, std::string_view>>;
+
+/// Index of the first call in aBefore's order among those that the first organisation with any has
+/// in the class.
+template<typename Before>
+std::size_t
+IndexOfFirst(const std::vector<PendingCall>& aCalls,
+             Importance aImportance,
+             const Standings& aStandings,
+             const Before& aBefore)
+{
+  for (const std::pair<double, std::string_view>& standing : aStandings) {
+    std::size_t best = aCalls.size();
+    for (std::size_t index = 0; index < aCalls.size(); ++index) {
+      const PendingCall& call = aCalls[index];
+      if (call.importance == aImportance && call.organisation == standing.second &&
+          (best == aCalls.size() || aBefore(call, aCalls[best]))) {
+        best = index;
+      }
+    }
+    if (best != aCalls.size()) {
+      return best;
+    }
+  }
+  return 0;
+}
+
+} // namespace
+
+std::size_t
+GoodputPolicy::NextToRun(const std::vector<PendingCall>& aCalls, const QueueView& aView) const
+{
+  return IndexOfFirst(aCalls, [&](const PendingCall& aLeft, const PendingCall& aRight) {
+    return RanksBefore(aLeft, aRight, aView.overloaded);
+  });
+}
+
+std::size_t
+GoodputPolicy::NextToShed(const std::vector<PendingCall>& aCalls, const QueueView& aView) const
 {
-  return this->RunsBefore(aRight, aLeft, aView);
+  return IndexOfFirst(aCalls, [&](const PendingCall& aLeft, const PendingCall& aRight) {
+    return RanksBefore(aRight, aLeft, aView.overloaded);
+  });
 }
 
 void
@@ -66,42 +119,37 @@
   return { .up = 32, .down = 8, .upAfter = milliseconds(20), .downAfter = milliseconds(20) };
 }
 
-bool
-FairnessPolicy::RunsBefore(const PendingCall& aLeft,
-                           const PendingCall& aRight,
-                           const QueueView& aView) const
+std::size_t
+FairnessPolicy::NextToRun(const std::vector<PendingCall>& aCalls, const QueueView& aView) const
 {
-  if (aLeft.importance != aRight.importance) {
-    return aLeft.importance < aRight.importance;
+  Standings standings;
+  for (const std::pair<const std::string, std::uint32_t>& queued : aView.queued) {
+    standings.emplace_back(this->StartsOf(queued.first, aView.now), queued.first);
   }
-  if (aLeft.organisation != aRight.organisation) {
-    const double left = this->StartsOf(aLeft.organisation, aView.now);
-    const double right = this->StartsOf(aRight.organisation, aView.now);
-    return left != right ? left < right : aLeft.organisation < aRight.organisation;
+  std::sort(standings.begin(), standings.end());
+  const Importance most = std::min_element(aCalls.begin(), aCalls.end(), MoreImportant)->importance;
+  return IndexOfFirst(
+    aCalls, most, standings, [](const PendingCall& aLeft, const PendingCall& aRight) {
+      return RanksBefore(aLeft, aRight, false);
+    });
+}
+
+std::size_t
+FairnessPolicy::NextToShed(const std::vector<PendingCall>& aCalls, const QueueView& aView) const
+{
+  Standings standings;
+  for (const std::pair<const std::string, std::uint32_t>& queued : aView.queued) {
+    const double share =
+      this->StartsOf(queued.first, aView.now) + queued.second / this->WeightOf(queued.first);
+    standings.emplace_back(share, queued.first);
   }
-  if (aLeft.priority != aRight.priority) {
-    return aLeft.priority > aRight.priority;
-  }
-  return Newer(aRight, aLeft);
-}
-
-bool
-FairnessPolicy::ShedsBefore(const PendingCall& aLeft,
-                            const PendingCall& aRight,
-                            const QueueView& aView) const
-{
-  if (aLeft.importance != aRight.importance) {
-    return aLeft.importance > aRight.importance;
-  }
-  if (aLeft.organisation != aRight.organisation) {
-    const double left = this->ShareOf(aLeft.organisation, aView);
-    const double right = this->ShareOf(aRight.organisation, aView);
-    return left != right ? left > right : aLeft.organisation > aRight.organisation;
-  }
-  if (aLeft.priority != aRight.priority) {
-    return aLeft.priority < aRight.priority;
-  }
-  return Newer(aLeft, aRight);
+  std::sort(standings.rbegin(), standings.rend());
+  const Importance least =
+    std::max_element(aCalls.begin(), aCalls.end(), MoreImportant)->importance;
+  return IndexOfFirst(
+    aCalls, least, standings, [](const PendingCall& aLeft, const PendingCall& aRight) {
+      return RanksBefore(aRight, aLeft, false);
+    });
 }
 
 void
@@ -145,15 +193,6 @@
   return Decayed(found->second.starts, aNow - found->second.at) / this->WeightOf(aOrganisation);
 }
 
-double
-FairnessPolicy::ShareOf(const std::string& aOrganisation, const QueueView& aView) const
-{
-  const std::map<std::string, std::uint32_t>::const_iterator found =
-    aView.queued.find(aOrganisation);
-  const double queued = found == aView.queued.end() ? 0 : found->second;
-  return this->StartsOf(aOrganisation, aView.now) + queued / this->WeightOf(aOrganisation);
-}
-
 ShedPolicy
 MakeShedPolicy(PolicyKind aKind)
 {
@@ -163,24 +202,18 @@
   return GoodputPolicy();
 }
 
-bool
-RunsBefore(const ShedPolicy& aPolicy,
-           const PendingCall& aLeft,
-           const PendingCall& aRight,
-           const QueueView& aView)
+std::size_t
+NextToRun(const ShedPolicy& aPolicy, const std::vector<PendingCall>& aCalls, const QueueView& aView)
 {
-  return std::visit([&](const auto& aKind) { return aKind.RunsBefore(aLeft, aRight, aView); },
-                    aPolicy);
+  return std::visit([&](const auto& aKind) { return aKind.NextToRun(aCalls, aView); }, aPolicy);
 }
 
-bool
-ShedsBefore(const ShedPolicy& aPolicy,
-            const PendingCall& aLeft,
-            const PendingCall& aRight,
-            const QueueView& aView)
+std::size_t
+NextToShed(const ShedPolicy& aPolicy,
+           const std::vector<PendingCall>& aCalls,
+           const QueueView& aView)
 {
-  return std::visit([&](const auto& aKind) { return aKind.ShedsBefore(aLeft, aRight, aView); },
-                    aPolicy);
+  return std::visit([&](const auto& aKind) { return aKind.NextToShed(aCalls, aView); }, aPolicy);
 }
 
 void
--- a/packages/decisions/overload/shed_policy.h
+++ b/packages/decisions/overload/shed_policy.h
@@ -1,17 +1,20 @@
 // The orders in which queued calls run and are shed, as a variant of policies.
 //
-//   ShedPolicy policy = FairnessPolicy(weights);
-//   if (RunsBefore(policy, left, right, view)) { ... }
-//   NoteStart(policy, call, now);
+//   ShedPolicy policy = MakeShedPolicy(PolicyKind::kFairness);
+//   std::size_t next = NextToRun(policy, calls, view);
+//   NoteStart(policy, calls[next], now);
 //
-// Cost: GoodputPolicy constant, FairnessPolicy two look-ups by organisation per comparison. For an
-// unchanged QueueView both orders are strict weak orders over calls.
+// Cost: linear in the queued calls, for FairnessPolicy also in the organisations that have queued
+// calls. Both orders are total: the same calls, history and view give the same choice, however the
+// calls are arranged.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "decisions/overload/pending_call.h"
 #include "util/clock.h"
@@ -45,12 +48,8 @@
 class GoodputPolicy
 {
 public:
-  bool RunsBefore(const PendingCall& aLeft,
-                  const PendingCall& aRight,
-                  const QueueView& aView) const;
-  bool ShedsBefore(const PendingCall& aLeft,
-                   const PendingCall& aRight,
-                   const QueueView& aView) const;
+  std::size_t NextToRun(const std::vector<PendingCall>& aCalls, const QueueView& aView) const;
+  std::size_t NextToShed(const std::vector<PendingCall>& aCalls, const QueueView& aView) const;
   void NoteStart(const PendingCall& aCall, Time aNow);
   void SetWeights(const std::map<std::string, double>& aWeights);
   LevelSteps Steps() const;
@@ -63,12 +62,8 @@
 class FairnessPolicy
 {
 public:
-  bool RunsBefore(const PendingCall& aLeft,
-                  const PendingCall& aRight,
-                  const QueueView& aView) const;
-  bool ShedsBefore(const PendingCall& aLeft,
-                   const PendingCall& aRight,
-                   const QueueView& aView) const;
+  std::size_t NextToRun(const std::vector<PendingCall>& aCalls, const QueueView& aView) const;
+  std::size_t NextToShed(const std::vector<PendingCall>& aCalls, const QueueView& aView) const;
   void NoteStart(const PendingCall& aCall, Time aNow);
   /// Weights by organisation; one that is not named has weight 1.
   void SetWeights(const std::map<std::string, double>& aWeights);
@@ -84,8 +79,8 @@
   };
 
   double WeightOf(const std::string& aOrganisation) const;
+  /// Recent starts per weight.
   double StartsOf(const std::string& aOrganisation, Time aNow) const;
-  double ShareOf(const std::string& aOrganisation, const QueueView& aView) const;
 
   std::map<std::string, double> weights;
   std::map<std::string, Usage> usages;
@@ -96,16 +91,14 @@
 /// Policy without history.
 ShedPolicy MakeShedPolicy(PolicyKind aKind);
 
-/// Whether the left call runs before the right one.
-bool RunsBefore(const ShedPolicy& aPolicy,
-                const PendingCall& aLeft,
-                const PendingCall& aRight,
-                const QueueView& aView);
-/// Whether the left call is shed before the right one.
-bool ShedsBefore(const ShedPolicy& aPolicy,
-                 const PendingCall& aLeft,
-                 const PendingCall& aRight,
-                 const QueueView& aView);
+/// Index of the call to run next; aCalls must not be empty.
+std::size_t NextToRun(const ShedPolicy& aPolicy,
+                      const std::vector<PendingCall>& aCalls,
+                      const QueueView& aView);
+/// Index of the call to shed first; aCalls must not be empty.
+std::size_t NextToShed(const ShedPolicy& aPolicy,
+                       const std::vector<PendingCall>& aCalls,
+                       const QueueView& aView);
 void NoteStart(ShedPolicy& aPolicy, const PendingCall& aCall, Time aNow);
 void SetWeights(ShedPolicy& aPolicy, const std::map<std::string, double>& aWeights);
 LevelSteps StepsOf(const ShedPolicy& aPolicy);
