--- /dev/null
+++ b/packages/decisions/rate/grant_book.cc
@@ -0,0 +1,165 @@
+#include "decisions/rate/grant_book.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace jackdawwind {
+
+namespace {
+
+/// Part of the burst that may be handed out and not known to be spent at the full rate.
+constexpr double kLifePart = 0.25;
+/// A lender keeps the own domain's demand of this time.
+constexpr double kReserveSeconds = 0.25;
+
+} // namespace
+
+Duration
+LifeOf(const BucketLimit& aLimit)
+{
+  if (aLimit.perSecond <= 0) {
+    return kTokenLifetime;
+  }
+  constexpr double kMicrosPerSecond = 1e6;
+  const double micros = kLifePart * aLimit.burst / aLimit.perSecond * kMicrosPerSecond;
+  const double most = static_cast<double>(kTokenLifetime.count());
+  const double least = static_cast<double>(kShortestLife.count());
+  return Duration(static_cast<Duration::rep>(std::clamp(micros, least, most)));
+}
+
+void
+GrantBook::SetLimits(const std::map<std::string, BucketLimit>& aLimits, Time aNow)
+{
+  for (const std::pair<const std::string, BucketLimit>& limit : aLimits) {
+    this->accounts[limit.first].limit.Set(limit.second, aNow);
+  }
+  std::map<std::string, Account>::iterator account = this->accounts.begin();
+  while (account != this->accounts.end()) {
+    if (aLimits.count(account->first) == 0) {
+      account->second.limit.Set(BucketLimit{}, aNow);
+    }
+    if (account->second.limit.Gone(aNow)) {
+      account = this->accounts.erase(account);
+      continue;
+    }
+    this->Find(account->first, aNow);
+    ++account;
+  }
+}
+
+void
+GrantBook::BeginTerm(Time aNow)
+{
+  this->EndTerm();
+  this->opensAt = aNow + kTokenLifetime + kClockMargin;
+}
+
+void
+GrantBook::EndTerm()
+{
+  this->opensAt.reset();
+  for (std::pair<const std::string, Account>& account : this->accounts) {
+    account.second.bucket.reset();
+  }
+}
+
+void
+GrantBook::Refresh(Time aNow)
+{
+  for (const std::pair<const std::string, Account>& account : this->accounts) {
+    this->Find(account.first, aNow);
+  }
+}
+
+TokenGrant
+GrantBook::Grant(const std::string& aOrganisation, std::uint32_t aWant, Time aNow)
+{
+  TokenBucket* bucket = this->Find(aOrganisation, aNow);
+  if (bucket == nullptr) {
+    return TokenGrant({ .organisation = aOrganisation });
+  }
+  return this->HandOut(aOrganisation, *bucket, aWant, aNow);
+}
+
+TokenGrant
+GrantBook::Lend(const std::string& aOrganisation, std::uint32_t aWant, Time aNow)
+{
+  TokenBucket* bucket = this->Find(aOrganisation, aNow);
+  if (bucket == nullptr) {
+    return TokenGrant({ .organisation = aOrganisation });
+  }
+  const double demand = this->accounts[aOrganisation].demand.PerSecond(aNow);
+  const double kept = std::ceil(std::min(demand, bucket->Limit().perSecond) * kReserveSeconds);
+  const double spare = bucket->Available(aNow) - kept;
+  const std::uint32_t tokens = spare <= 0 ? 0U : static_cast<std::uint32_t>(spare);
+  return this->HandOut(aOrganisation, *bucket, std::min(aWant, tokens), aNow);
+}
+
+bool
+GrantBook::Spend(const std::string& aOrganisation, Time aNow)
+{
+  TokenBucket* bucket = this->Find(aOrganisation, aNow);
+  return bucket != nullptr && bucket->Spend(aNow);
+}
+
+void
+GrantBook::NoteDemand(const std::string& aOrganisation, std::uint32_t aTokens, Time aNow)
+{
+  const std::map<std::string, Account>::iterator found = this->accounts.find(aOrganisation);
+  if (found != this->accounts.end()) {
+    found->second.demand.Note(aTokens, aNow);
+  }
+}
+
+double
+GrantBook::ExcessDemand(const std::string& aOrganisation, Time aNow) const
+{
+  const std::map<std::string, Account>::const_iterator found = this->accounts.find(aOrganisation);
+  if (found == this->accounts.end()) {
+    return 0;
+  }
+  const double own = found->second.limit.InForce(aNow).perSecond;
+  return std::max(0.0, found->second.demand.PerSecond(aNow) - own);
+}
+
+Time
+GrantBook::NextToken(const std::string& aOrganisation, Time aNow)
+{
+  if (this->opensAt && *this->opensAt > aNow) {
+    return *this->opensAt;
+  }
+  TokenBucket* bucket = this->Find(aOrganisation, aNow);
+  return bucket == nullptr ? Time::max() : bucket->NextToken(aNow);
+}
+
+TokenBucket*
+GrantBook::Find(const std::string& aOrganisation, Time aNow)
+{
+  const std::map<std::string, Account>::iterator found = this->accounts.find(aOrganisation);
+  if (found == this->accounts.end() || !this->opensAt || aNow < *this->opensAt) {
+    return nullptr;
+  }
+  Account& account = found->second;
+  if (!account.bucket) {
+    account.bucket.emplace(aNow);
+  }
+  const BucketLimit limit = account.limit.InForce(aNow);
+  if (account.bucket->Limit() != limit) {
+    account.bucket->SetLimit(limit, aNow);
+  }
+  return &*account.bucket;
+}
+
+TokenGrant
+GrantBook::HandOut(const std::string& aOrganisation,
+                   TokenBucket& aBucket,
+                   std::uint32_t aWant,
+                   Time aNow)
+{
+  const Duration life = LifeOf(aBucket.Limit());
+  const std::uint32_t tokens = aBucket.HandOut(aWant, life + kClockMargin, aNow);
+  return TokenGrant({ .organisation = aOrganisation, .tokens = tokens, .life = life });
+}
+
+} // namespace jackdawwind
--- /dev/null
+++ b/packages/decisions/rate/rate_limiter.cc
@@ -0,0 +1,563 @@
+#include "decisions/rate/rate_limiter.h"
+
+#include <algorithm>
+#include <chrono>
+#include <iterator>
+#include <utility>
+
+namespace jackdawwind {
+
+namespace {
+
+/// Longest time that a call waits for a token.
+constexpr Duration kCallWait = std::chrono::milliseconds(60);
+/// Reports of a node without demand.
+constexpr Duration kHeartbeat = std::chrono::seconds(1);
+/// Reports of a node that knows no steward.
+constexpr Duration kSearchHeartbeat = std::chrono::milliseconds(500);
+/// Calls that arrive within this time share a report.
+constexpr Duration kReportGap = std::chrono::milliseconds(2);
+/// Least time between reports while no steward is known.
+constexpr Duration kSearchGap = std::chrono::milliseconds(50);
+/// A vote with an older mark would hardly count.
+constexpr Duration kMarkAge = std::chrono::milliseconds(2500);
+/// A steward short of tokens borrows for its domain's excess demand of this time, too.
+constexpr double kBorrowAheadSeconds = 0.1;
+constexpr Duration kShortestWake = std::chrono::milliseconds(1);
+
+std::uint64_t
+RandomBase(Random& aRandom)
+{
+  constexpr std::uint64_t kBases = 1ULL << 62U;
+  return aRandom.Below(kBases) + 1;
+}
+
+std::uint64_t
+MixSeed(std::uint64_t aSeed, std::uint64_t aIncarnation)
+{
+  // An odd multiplier maps incarnations to seeds one to one, so equal seeds do not repeat bases.
+  constexpr std::uint64_t kOddMultiplier = 0x9e3779b97f4a7c15ULL;
+  return aSeed ^ (aIncarnation * kOddMultiplier);
+}
+
+} // namespace
+
+RateLimiter::RateLimiter(Options aOptions, std::uint64_t aSeed)
+  : options(std::move(aOptions))
+  , random(MixSeed(aSeed, this->options.incarnation))
+  , markBase(RandomBase(this->random))
+  , sequence(RandomBase(this->random))
+  , purse(this->options.prefetch)
+{
+}
+
+void
+RateLimiter::Configure(const ControlState& aState, Time aNow)
+{
+  this->Begin(aNow, this->deferred);
+  this->organisations.clear();
+  std::map<std::string, BucketLimit> limits;
+  for (const std::pair<const std::string, Organisation>& item : aState.Organisations()) {
+    this->organisations.insert(item.first);
+    limits[item.first] = LimitOf(item.second, aState.Domains(), this->options.domain);
+  }
+  this->book.SetLimits(limits, aNow);
+  this->purse.Retain(this->organisations);
+  const Domain* domain = aState.FindDomain(this->options.domain);
+  this->configuredHosts = domain == nullptr ? 0 : domain->Hosts();
+  this->UpdateHosts(aNow);
+}
+
+void
+RateLimiter::SetMembers(const std::map<std::string, Member>& aMembers, Time aNow)
+{
+  this->Begin(aNow, this->deferred);
+  std::vector<PeerAddress> own;
+  std::set<std::string> nodes;
+  std::map<std::string, LenderMembers> others;
+  this->addresses.clear();
+  for (const std::pair<const std::string, Member>& item : aMembers) {
+    const Member& member = item.second;
+    nodes.insert(item.first);
+    if (item.first == this->options.self.Node()) {
+      continue;
+    }
+    if (member.GetDomain() == this->options.domain) {
+      this->addresses[item.first] = member.Address();
+    }
+    if (!this->IsLive(member)) {
+      continue;
+    }
+    if (member.GetDomain() == this->options.domain) {
+      own.push_back(member.Address());
+    } else {
+      LenderMembers& lender = others[member.GetDomain()];
+      lender.ownRegion = member.Region() == this->options.region;
+      lender.members.push_back(member.Address());
+    }
+  }
+  this->liveHosts = static_cast<std::uint32_t>(own.size() + 1);
+  this->finder.SetMembers(std::move(own));
+  this->borrowing.SetMembers(others);
+  this->reports.Retain(nodes);
+  std::erase_if(this->marks, [&nodes](const std::pair<const std::string, Mark>& aMark) {
+    return nodes.count(aMark.first) == 0;
+  });
+  this->UpdateHosts(aNow);
+}
+
+RateVerdict
+RateLimiter::Request(std::uint64_t aExchange,
+                     const std::string& aOrganisation,
+                     Time aNow,
+                     Effects& aEffects)
+{
+  this->Begin(aNow, aEffects);
+  if (!this->Knows(aOrganisation)) {
+    return RateVerdict::kRefused;
+  }
+  this->purse.NoteDemand(aOrganisation, aNow);
+  const bool elected = this->Elected();
+  if (elected) {
+    this->book.NoteDemand(aOrganisation, 1, aNow);
+  }
+  RateVerdict verdict = RateVerdict::kWaiting;
+  if (this->waiting.Count(aOrganisation) == 0 && this->TakeToken(aOrganisation, aNow)) {
+    verdict = RateVerdict::kTaken;
+  } else if (!elected && this->purse.NextAsk(aOrganisation) > aNow + kCallWait) {
+    // The steward had no token lately and will not be asked in time.
+    ++this->refused[aOrganisation];
+    verdict = RateVerdict::kRefused;
+  } else {
+    this->waiting.Add(aOrganisation, aExchange, aNow + kCallWait);
+  }
+  const std::uint32_t waitingNow = this->waiting.Count(aOrganisation);
+  if (elected ? waitingNow > 0 : this->purse.Due(aOrganisation, waitingNow, aNow)) {
+    this->SendDue(aNow, aEffects);
+  }
+  return verdict;
+}
+
+void
+RateLimiter::Abandon(std::uint64_t aExchange)
+{
+  this->waiting.Remove(aExchange);
+}
+
+std::vector<RateDecision>
+RateLimiter::TakeDecisions()
+{
+  return std::exchange(this->decisions, {});
+}
+
+void
+RateLimiter::Receive(const StewardReport& aReport, Time aNow, Effects& aEffects)
+{
+  this->Begin(aNow, aEffects);
+  if (aReport.Sender().Node() == this->options.self.Node()) {
+    return;
+  }
+  const bool ownDomain = aReport.GetDomain() == this->options.domain;
+  if (ownDomain && aReport.Vote()) {
+    this->voting->election.CountVote(aReport.Sender().Node(), aReport.Mark(), aNow);
+    this->FollowLease(aNow, aEffects);
+  }
+  if (!this->reports.Note(aReport)) {
+    return;
+  }
+  if (ownDomain) {
+    this->ReplyToDomain(aReport, aNow, aEffects);
+  } else {
+    this->ReplyToBorrower(aReport, aNow, aEffects);
+  }
+}
+
+void
+RateLimiter::Receive(const StewardGrant& aGrant, Time aNow, Effects& aEffects)
+{
+  this->Begin(aNow, aEffects);
+  if (aGrant.Released()) {
+    this->voting->promise.Release(aGrant.Sender(), aGrant.Mark());
+    this->finder.Forget(aGrant.Sender());
+    this->nextHeartbeat = aNow;
+    return;
+  }
+  if (this->purse.Receive(aGrant, aNow)) {
+    this->marks[aGrant.Sender()] = Mark{ aGrant.Mark(), aNow };
+    this->finder.NoteAnswer(aGrant.Sender(), aGrant.Elected(), aNow);
+  } else if (this->borrowing.Receive(aGrant, aNow) && !aGrant.Grants().empty()) {
+    AddLogLine(aEffects, LogEvent::kTokensBorrowed, "from " + aGrant.Sender());
+  }
+  this->ServeWaiting(aNow);
+  this->SendDue(aNow, aEffects);
+}
+
+void
+RateLimiter::Leave(Time aNow, Effects& aEffects)
+{
+  this->Begin(aNow, aEffects);
+  const bool held = this->Elected();
+  const std::uint64_t mark = this->voting->election.IssueMark(aNow);
+  const std::vector<std::string> voters = this->voting->election.Resign();
+  this->leaving = true;
+  this->voting->promise.Release(this->options.self.Node(), mark);
+  this->book.EndTerm();
+  this->borrowing.Clear();
+  for (const std::string& voter : voters) {
+    const std::map<std::string, PeerAddress>::const_iterator address = this->addresses.find(voter);
+    if (address != this->addresses.end()) {
+      const StewardGrant release(
+        { .sender = this->options.self.Node(), .mark = mark, .released = true });
+      aEffects.push_back(SendPeer({ .to = address->second, .message = release }));
+    }
+  }
+  if (held) {
+    AddLogLine(aEffects, LogEvent::kStewardLost, "released, domain " + this->options.domain);
+  }
+}
+
+void
+RateLimiter::Poll(Time aNow, Effects& aEffects)
+{
+  this->Begin(aNow, aEffects);
+  std::move(this->deferred.begin(), this->deferred.end(), std::back_inserter(aEffects));
+  this->deferred.clear();
+  if (aNow >= this->nextHeartbeat) {
+    this->Heartbeat(aNow, aEffects);
+  }
+  this->ServeWaiting(aNow);
+  for (const WaitingCall& call : this->waiting.PopExpired(aNow)) {
+    ++this->refused[call.organisation];
+    this->decisions.push_back(RateDecision{ call.exchange, false });
+  }
+  this->SendDue(aNow, aEffects);
+}
+
+Time
+RateLimiter::NextWake() const
+{
+  Time next = std::min(this->nextHeartbeat, this->waiting.NextDeadline());
+  if (!this->voting) {
+    return next;
+  }
+  next = std::min(next, this->voting->election.LeaseEnd());
+  if (this->Elected()) {
+    next = std::min(next, std::max(this->borrowing.NextAsk(), this->lastNow + kShortestWake));
+    return std::min(next, this->nextToken);
+  }
+  for (const std::pair<const std::string, std::uint32_t>& count : this->waiting.Counts()) {
+    next = std::min(next, std::max(this->purse.NextAsk(count.first), this->nextReport));
+  }
+  return next;
+}
+
+std::string
+RateLimiter::Steward() const
+{
+  if (this->Elected()) {
+    return this->options.self.Node();
+  }
+  const PeerAddress* known = this->finder.Steward(this->lastNow);
+  return known == nullptr ? this->Candidate(this->lastNow) : known->Node();
+}
+
+bool
+RateLimiter::Elected() const
+{
+  return this->voting && this->voting->election.Elected();
+}
+
+std::vector<TokenStatus>
+RateLimiter::Status(Time aNow) const
+{
+  std::vector<TokenStatus> status;
+  for (const std::string& organisation : this->organisations) {
+    const std::map<std::string, std::uint64_t>::const_iterator count =
+      this->refused.find(organisation);
+    status.push_back(TokenStatus(
+      { .organisation = organisation,
+        .tokens = this->purse.Count(organisation, aNow) + this->borrowing.Count(organisation, aNow),
+        .refused = count == this->refused.end() ? 0 : count->second }));
+  }
+  return status;
+}
+
+void
+RateLimiter::Begin(Time aNow, Effects& aEffects)
+{
+  this->lastNow = std::max(this->lastNow, aNow);
+  if (!this->voting) {
+    this->voting.emplace(Voting{ VotePromise(aNow), StewardElection(this->markBase, aNow) });
+    this->nextHeartbeat = aNow;
+  }
+  this->FollowLease(aNow, aEffects);
+}
+
+void
+RateLimiter::FollowLease(Time aNow, Effects& aEffects)
+{
+  switch (this->voting->election.Update(aNow)) {
+    case LeaseChange::kWon:
+      this->book.BeginTerm(aNow);
+      AddLogLine(aEffects, LogEvent::kStewardElected, "domain " + this->options.domain);
+      break;
+    case LeaseChange::kLost:
+      this->book.EndTerm();
+      this->borrowing.Clear();
+      AddLogLine(aEffects, LogEvent::kStewardLost, "domain " + this->options.domain);
+      break;
+    case LeaseChange::kNone:
+      break;
+  }
+}
+
+void
+RateLimiter::UpdateHosts(Time aNow)
+{
+  if (this->configuredHosts > 0) {
+    this->voting->election.SetHosts(std::max(this->configuredHosts, this->liveHosts), aNow);
+  }
+}
+
+bool
+RateLimiter::TakeToken(const std::string& aOrganisation, Time aNow)
+{
+  if (this->purse.Take(aOrganisation, aNow)) {
+    return true;
+  }
+  return this->Elected() &&
+         (this->book.Spend(aOrganisation, aNow) || this->borrowing.TakeOne(aOrganisation, aNow));
+}
+
+void
+RateLimiter::ServeWaiting(Time aNow)
+{
+  for (const std::pair<const std::string, std::uint32_t>& count : this->waiting.Counts()) {
+    std::uint32_t left = count.second;
+    while (left > 0 && this->TakeToken(count.first, aNow)) {
+      this->decisions.push_back(RateDecision{ this->waiting.PopFirst(count.first), true });
+      --left;
+    }
+  }
+}
+
+void
+RateLimiter::SendDue(Time aNow, Effects& aEffects)
+{
+  const std::map<std::string, std::uint32_t> counts = this->waiting.Counts();
+  if (this->Elected()) {
+    this->nextToken = Time::max();
+    for (const std::pair<const std::string, std::uint32_t>& count : counts) {
+      this->NeedTokens(count.first, count.second, aNow);
+      this->nextToken = std::min(
+        this->nextToken, std::max(this->book.NextToken(count.first, aNow), aNow + kShortestWake));
+    }
+    this->SendBorrowRequests(aNow, aEffects);
+    return;
+  }
+  if (aNow < this->nextReport) {
+    return;
+  }
+  for (const std::string& organisation : this->organisations) {
+    if (this->purse.Due(organisation, this->waiting.Count(organisation), aNow)) {
+      this->SendReport(aNow, aEffects);
+      return;
+    }
+  }
+}
+
+void
+RateLimiter::SendBorrowRequests(Time aNow, Effects& aEffects)
+{
+  if (!this->options.borrow) {
+    return;
+  }
+  for (const BorrowRequest& request : this->borrowing.Due(aNow)) {
+    const StewardReport report({ .sender = this->options.self,
+                                 .incarnation = this->options.incarnation,
+                                 .sequence = ++this->sequence,
+                                 .domain = this->options.domain,
+                                 .demands = request.demands });
+    this->borrowing.NoteAsk(report.Sequence(), request, aNow);
+    aEffects.push_back(SendPeer({ .to = request.to, .message = report }));
+  }
+}
+
+void
+RateLimiter::NeedTokens(const std::string& aOrganisation, std::uint32_t aTokens, Time aNow)
+{
+  if (this->options.borrow) {
+    const double ahead = this->book.ExcessDemand(aOrganisation, aNow) * kBorrowAheadSeconds;
+    this->borrowing.Need(aOrganisation, aTokens + static_cast<std::uint32_t>(ahead), aNow);
+  }
+}
+
+void
+RateLimiter::Heartbeat(Time aNow, Effects& aEffects)
+{
+  this->VoteForSelf(aNow, aEffects);
+  const bool known = this->Elected() || this->finder.Steward(aNow) != nullptr;
+  this->nextHeartbeat = aNow + (known ? kHeartbeat : kSearchHeartbeat);
+  if (this->Elected()) {
+    this->book.Refresh(aNow);
+  } else {
+    this->SendReport(aNow, aEffects);
+  }
+}
+
+void
+RateLimiter::VoteForSelf(Time aNow, Effects& aEffects)
+{
+  const std::string& self = this->options.self.Node();
+  if (this->Candidate(aNow) == self && this->voting->promise.MayVote(self, aNow)) {
+    this->voting->promise.Make(self, this->voting->election.IssueMark(aNow), aNow);
+    this->voting->election.CountOwnVote(self, aNow);
+    this->FollowLease(aNow, aEffects);
+  }
+}
+
+void
+RateLimiter::SendReport(Time aNow, Effects& aEffects)
+{
+  this->nextReport = aNow + this->ReportGap(aNow);
+  const PeerAddress* target = this->NextTarget(aNow);
+  if (target == nullptr) {
+    return;
+  }
+  const std::map<std::string, Mark>::const_iterator mark = this->marks.find(target->Node());
+  const bool marked = mark != this->marks.end() && aNow - mark->second.receivedAt < kMarkAge;
+  const bool vote = marked && this->Candidate(aNow) == target->Node() &&
+                    this->voting->promise.MayVote(target->Node(), aNow);
+  if (vote) {
+    this->voting->promise.Make(target->Node(), mark->second.mark, aNow);
+  }
+  const StewardReport report({ .sender = this->options.self,
+                               .incarnation = this->options.incarnation,
+                               .sequence = ++this->sequence,
+                               .vote = vote,
+                               .mark = marked ? mark->second.mark : 0,
+                               .domain = this->options.domain,
+                               .demands = this->purse.Wanted(this->waiting.Counts(), aNow) });
+  this->purse.NoteAsk(report.Sequence(), target->Node(), report.Demands(), aNow);
+  aEffects.push_back(SendPeer({ .to = *target, .message = report }));
+}
+
+void
+RateLimiter::ReplyToDomain(const StewardReport& aReport, Time aNow, Effects& aEffects)
+{
+  std::vector<TokenGrant> grants;
+  if (this->Elected()) {
+    for (const TokenDemand& demand : aReport.Demands()) {
+      this->GrantTo(demand, aNow, grants);
+    }
+  }
+  this->SendGrant(aReport, std::move(grants), aNow, aEffects);
+  this->SendDue(aNow, aEffects);
+}
+
+void
+RateLimiter::ReplyToBorrower(const StewardReport& aReport, Time aNow, Effects& aEffects)
+{
+  std::vector<TokenGrant> grants;
+  if (this->Elected()) {
+    for (const TokenDemand& demand : aReport.Demands()) {
+      const TokenGrant grant = this->book.Lend(demand.GetOrganisation(), demand.Want(), aNow);
+      if (grant.Tokens() > 0) {
+        grants.push_back(grant);
+      }
+    }
+  }
+  this->SendGrant(aReport, std::move(grants), aNow, aEffects);
+}
+
+void
+RateLimiter::SendGrant(const StewardReport& aReport,
+                       std::vector<TokenGrant> aGrants,
+                       Time aNow,
+                       Effects& aEffects) const
+{
+  const StewardGrant grant({ .sender = this->options.self.Node(),
+                             .sequence = aReport.Sequence(),
+                             .mark = this->voting->election.IssueMark(aNow),
+                             .elected = this->Elected(),
+                             .grants = std::move(aGrants) });
+  aEffects.push_back(SendPeer({ .to = aReport.Sender(), .message = grant }));
+}
+
+void
+RateLimiter::GrantTo(const TokenDemand& aDemand, Time aNow, std::vector<TokenGrant>& aGrants)
+{
+  const std::string& organisation = aDemand.GetOrganisation();
+  if (!this->Knows(organisation)) {
+    return;
+  }
+  this->book.NoteDemand(organisation, aDemand.Want(), aNow);
+  const TokenGrant own = this->book.Grant(organisation, aDemand.Want(), aNow);
+  std::uint32_t missing = aDemand.Want() - own.Tokens();
+  if (own.Tokens() > 0) {
+    aGrants.push_back(own);
+  }
+  for (const TokenBatch& batch : this->borrowing.Take(organisation, missing, aNow)) {
+    missing -= batch.tokens;
+    aGrants.push_back(TokenGrant(
+      { .organisation = organisation, .tokens = batch.tokens, .life = batch.expiry - aNow }));
+  }
+  if (missing > 0) {
+    this->NeedTokens(organisation, missing, aNow);
+  }
+}
+
+bool
+RateLimiter::IsLive(const Member& aMember) const
+{
+  return aMember.State() == NodeState::kAlive || aMember.State() == NodeState::kSuspect;
+}
+
+std::string
+RateLimiter::Candidate(Time aNow) const
+{
+  if (this->Elected()) {
+    return this->options.self.Node();
+  }
+  const PeerAddress* known = this->finder.Steward(aNow);
+  if (known != nullptr) {
+    return known->Node();
+  }
+  const PeerAddress* lowest = this->finder.Lowest();
+  if (lowest == nullptr) {
+    return this->leaving ? std::string() : this->options.self.Node();
+  }
+  return this->leaving ? lowest->Node() : std::min(lowest->Node(), this->options.self.Node());
+}
+
+const PeerAddress*
+RateLimiter::NextTarget(Time aNow)
+{
+  const PeerAddress* known = this->finder.Steward(aNow);
+  if (known != nullptr) {
+    return known;
+  }
+  // Without a known steward the candidate and the other members take turns.
+  this->walk = !this->walk;
+  const PeerAddress* lowest = this->finder.Lowest();
+  if (!this->walk && lowest != nullptr && this->Candidate(aNow) == lowest->Node()) {
+    return lowest;
+  }
+  const PeerAddress* next = this->finder.Target(aNow);
+  this->finder.Advance();
+  return next;
+}
+
+Duration
+RateLimiter::ReportGap(Time aNow) const
+{
+  return this->finder.Steward(aNow) != nullptr ? kReportGap : kSearchGap;
+}
+
+bool
+RateLimiter::Knows(const std::string& aOrganisation) const
+{
+  return this->organisations.count(aOrganisation) > 0;
+}
+
+} // namespace jackdawwind
--- /dev/null
+++ b/packages/decisions/rate/share_limits.cc
@@ -0,0 +1,125 @@
+#include "decisions/rate/share_limits.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <utility>
+#include <vector>
+
+namespace jackdawwind {
+
+namespace {
+
+/// Shares like 0.1 have no exact binary form; their sum may miss a whole number by this much.
+constexpr double kRounding = 1e-9;
+
+struct Part
+{
+  std::string domain;
+  double share = 0;
+  std::uint32_t tokens = 0;
+  double remainder = 0;
+};
+
+std::uint32_t
+WholeTokens(double aTokens)
+{
+  constexpr double kMost = std::numeric_limits<std::uint32_t>::max() / 2;
+  return static_cast<std::uint32_t>(std::floor(std::clamp(aTokens + kRounding, 0.0, kMost)));
+}
+
+std::vector<Part>
+SplitBurst(double aBurst, const std::map<std::string, Domain>& aDomains)
+{
+  std::vector<Part> parts;
+  double shares = 0;
+  std::uint32_t assigned = 0;
+  for (const std::pair<const std::string, Domain>& domain : aDomains) {
+    const double share = domain.second.Share();
+    if (share <= 0) {
+      continue;
+    }
+    const double tokens = aBurst * share;
+    const std::uint32_t whole = WholeTokens(tokens);
+    parts.push_back(Part{ domain.first, share, whole, tokens - whole });
+    shares += share;
+    assigned += whole;
+  }
+  // Shares a little below one must not cost an organisation with a burst of one its only token.
+  const std::uint32_t total = std::max(WholeTokens(aBurst * shares), aBurst >= 1 ? 1U : 0U);
+  std::stable_sort(parts.begin(), parts.end(), [](const Part& aLeft, const Part& aRight) {
+    return aLeft.remainder > aRight.remainder + kRounding;
+  });
+  for (Part& part : parts) {
+    if (assigned >= total) {
+      break;
+    }
+    ++part.tokens;
+    ++assigned;
+  }
+  return parts;
+}
+
+} // namespace
+
+BucketLimit
+LimitOf(const Organisation& aOrganisation,
+        const std::map<std::string, Domain>& aDomains,
+        const std::string& aDomain)
+{
+  const std::vector<Part> parts = SplitBurst(aOrganisation.Burst(), aDomains);
+  double shares = 0;
+  double withTokens = 0;
+  for (const Part& part : parts) {
+    shares += part.share;
+    withTokens += part.tokens > 0 ? part.share : 0;
+  }
+  for (const Part& part : parts) {
+    if (part.domain == aDomain && part.tokens > 0) {
+      // The rate of domains too small for a token goes to those that can hand it out.
+      const double rate = aOrganisation.Rate() * std::min(1.0, shares) * part.share / withTokens;
+      return BucketLimit{ rate, part.tokens };
+    }
+  }
+  return BucketLimit{};
+}
+
+void
+DelayedLimit::Set(BucketLimit aLimit, Time aNow)
+{
+  if (!this->entries.empty() && this->entries.back().limit == aLimit) {
+    return;
+  }
+  if (this->entries.empty()) {
+    this->entries.push_back(Entry{ aNow - kGrowthDelay, BucketLimit{} });
+  }
+  while (this->entries.size() > 1 && this->entries[1].readAt + kGrowthDelay <= aNow) {
+    this->entries.pop_front();
+  }
+  this->entries.push_back(Entry{ aNow, aLimit });
+}
+
+BucketLimit
+DelayedLimit::InForce(Time aNow) const
+{
+  if (this->entries.empty()) {
+    return BucketLimit{};
+  }
+  BucketLimit least = this->entries.back().limit;
+  for (std::size_t index = 0; index + 1 < this->entries.size(); ++index) {
+    if (this->entries[index + 1].readAt + kGrowthDelay > aNow) {
+      least.perSecond = std::min(least.perSecond, this->entries[index].limit.perSecond);
+      least.burst = std::min(least.burst, this->entries[index].limit.burst);
+    }
+  }
+  return least;
+}
+
+bool
+DelayedLimit::Gone(Time aNow) const
+{
+  return this->entries.empty() || (this->entries.back().limit == BucketLimit{} &&
+                                   this->entries.back().readAt + kGrowthDelay <= aNow);
+}
+
+} // namespace jackdawwind
--- /dev/null
+++ b/packages/decisions/rate/token_bucket.cc
@@ -0,0 +1,93 @@
+#include "decisions/rate/token_bucket.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jackdawwind {
+
+namespace {
+
+constexpr double kMicrosPerSecond = 1e6;
+
+} // namespace
+
+void
+TokenBucket::SetLimit(BucketLimit aLimit, Time aNow)
+{
+  this->Advance(aNow);
+  this->limit = aLimit;
+  this->Fill(this->filledAt);
+}
+
+std::uint32_t
+TokenBucket::Available(Time aNow)
+{
+  this->Advance(aNow);
+  return static_cast<std::uint32_t>(this->level);
+}
+
+std::uint32_t
+TokenBucket::HandOut(std::uint32_t aWant, Duration aLife, Time aNow)
+{
+  const std::uint32_t tokens = std::min(aWant, this->Available(aNow));
+  if (tokens > 0) {
+    this->level -= tokens;
+    this->alive += tokens;
+    this->handedOut[std::max(aNow, this->filledAt) + aLife] += tokens;
+  }
+  return tokens;
+}
+
+bool
+TokenBucket::Spend(Time aNow)
+{
+  if (this->Available(aNow) == 0) {
+    return false;
+  }
+  this->level -= 1;
+  return true;
+}
+
+Time
+TokenBucket::NextToken(Time aNow)
+{
+  this->Advance(aNow);
+  if (this->level >= 1) {
+    return aNow;
+  }
+  const bool full = static_cast<double>(this->limit.burst) - static_cast<double>(this->alive) < 1;
+  if (full) {
+    return this->handedOut.empty() ? Time::max() : this->handedOut.begin()->first;
+  }
+  constexpr double kForever = 3600;
+  const double seconds = (1 - this->level) / this->limit.perSecond;
+  if (!(seconds < kForever)) {
+    return Time::max();
+  }
+  return this->filledAt + Duration(static_cast<Duration::rep>(seconds * kMicrosPerSecond) + 1);
+}
+
+void
+TokenBucket::Advance(Time aNow)
+{
+  while (!this->handedOut.empty() && this->handedOut.begin()->first <= aNow) {
+    this->Fill(this->handedOut.begin()->first);
+    this->alive -= this->handedOut.begin()->second;
+    this->handedOut.erase(this->handedOut.begin());
+  }
+  this->Fill(aNow);
+}
+
+void
+TokenBucket::Fill(Time aUntil)
+{
+  if (aUntil > this->filledAt) {
+    const double seconds = std::chrono::duration<double>(aUntil - this->filledAt).count();
+    this->level += this->limit.perSecond * seconds;
+    this->filledAt = aUntil;
+  }
+  const double room = static_cast<double>(this->limit.burst) - static_cast<double>(this->alive);
+  this->level = std::clamp(this->level, 0.0, std::max(0.0, room));
+}
+
+} // namespace jackdawwind
--- /dev/null
+++ b/packages/decisions/rate/waiting_calls.h
@@ -0,0 +1,44 @@
+// Calls that wait for a token, first come first served within an organisation.
+//
+//   waiting.Add("north-farm", exchange, now + 60ms);
+//   while (waiting.Count("north-farm") > 0 && TakeToken()) { waiting.PopFirst("north-farm"); }
+//   for (const WaitingCall& call : waiting.PopExpired(now)) { ... }
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "util/clock.h"
+
+namespace jackdawwind {
+
+struct WaitingCall
+{
+  std::uint64_t exchange = 0;
+  std::string organisation;
+  Time deadline{};
+};
+
+class WaitingCalls
+{
+public:
+  /// Deadlines of one organisation must not decrease.
+  void Add(const std::string& aOrganisation, std::uint64_t aExchange, Time aDeadline);
+  void Remove(std::uint64_t aExchange);
+  std::uint32_t Count(const std::string& aOrganisation) const;
+  /// Number of waiting calls of each organisation that has any.
+  std::map<std::string, std::uint32_t> Counts() const;
+  /// Removes the call that has waited longest; there must be one.
+  std::uint64_t PopFirst(const std::string& aOrganisation);
+  std::vector<WaitingCall> PopExpired(Time aNow);
+  /// Time::max() when no call waits.
+  Time NextDeadline() const;
+
+private:
+  std::map<std::string, std::deque<WaitingCall>> calls;
+};
+
+} // namespace jackdawwind
