--- a/packages/decisions/membership/membership.h
+++ b/packages/decisions/membership/membership.h
@@ -9,12 +9,20 @@
 // bytes per node do not grow with the number of members.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "decisions/effects.h"
+#include "decisions/membership/change_queue.h"
+#include "decisions/membership/contact_list.h"
+#include "decisions/membership/failure_detector.h"
+#include "decisions/membership/member_table.h"
+#include "decisions/membership/probe_ring.h"
 #include "util/clock.h"
 #include "util/random.h"
 #include "values/generated/peer.h"
@@ -56,17 +64,77 @@
   Time NextWake() const;
 
   /// All known members by node id, this node and the dead that are not yet forgotten included.
-  const std::map<std::string, Member>& Members() const { return this->members; }
+  const std::map<std::string, Member>& Members() const { return this->table.All(); }
   /// Live or suspect members of a domain, this node included, in the order of their ids.
   std::vector<PeerAddress> LiveOf(const std::string& aDomain) const;
   /// Grows whenever Members() changes.
-  std::uint64_t Changes() const { return this->changeCount; }
+  std::uint64_t Changes() const { return this->table.Changes(); }
 
 private:
+  const Member& Self() const;
+  /// Raises the own version and lets the change spread.
+  void PutSelf(Member::Fields aFields, Time aNow);
+
+  void MergeAll(const std::vector<Member>& aMembers, Time aNow, Effects& aEffects);
+  void MergeSelf(const Member& aClaim, Time aNow, Effects& aEffects);
+  /// Starts and stops timers, queues the record and reports the change.
+  void Follow(const TableChange& aChange, Time aNow, Effects& aEffects);
+  void Report(const TableChange& aChange, Effects& aEffects) const;
+
+  /// Records for a message to aNode: what the receiver must answer to, then queued changes.
+  std::vector<Member> ChangesFor(const std::string& aNode, bool aWithSelf);
+  void SendProbe(const PeerAddress& aTo,
+                 std::uint64_t aSequence,
+                 const std::string& aOnBehalfOf,
+                 bool aWithSelf,
+                 Effects& aEffects);
+  void SendAck(const PeerAddress& aTo,
+               std::uint64_t aSequence,
+               const std::string& aSubject,
+               std::vector<Member> aChanges,
+               Effects& aEffects) const;
+  void SendSync(const PeerAddress& aTo,
+                std::vector<Member> aMembers,
+                bool aReply,
+                Effects& aEffects) const;
+  /// Asks for a full exchange when the table of a peer keeps differing.
+  void CompareHash(const PeerAddress& aPeer,
+                   std::uint64_t aHash,
+                   bool aWasStranger,
+                   Time aNow,
+                   Effects& aEffects);
+
+  void BeginPeriod(Time aNow, Effects& aEffects);
+  void LookForOthers(Effects& aEffects, Time aNow);
+  void CheckProbe(Time aNow, Effects& aEffects);
+  void RemoveExpired(Time aNow, Effects& aEffects);
+  void SchedulePush(const std::string& aNode, Time aNow);
+  void PushChanges(Effects& aEffects);
+  /// Other live nodes in random order: of aDomain, or of all domains when it is empty.
+  std::vector<PeerAddress> RandomPeers(const std::string& aDomain, std::size_t aCount);
+  void PushTo(const std::vector<PeerAddress>& aPeers,
+              const std::vector<Member>& aChanges,
+              Effects& aEffects) const;
+
   Options options;
   Random random;
-  std::map<std::string, Member> members;
-  std::uint64_t changeCount = 0;
+  MemberTable table;
+  ChangeQueue queue;
+  ProbeRing ring;
+  FailureDetector detector;
+  ContactList contacts;
+  bool started = false;
+  std::uint64_t configOffset = 0;
+  Time nextPeriod{};
+  Time nextSync{};
+  /// Nodes with changes to push at once, and when; Time::max() for none.
+  std::set<std::string> urgent;
+  Time pushDue = Time::max();
+  Time lastPush{};
+  /// Dead nodes and when to forget them.
+  std::map<std::string, Time> forgetAt;
+  /// Number of differing hashes in a row by peer.
+  std::map<std::string, std::uint32_t> differing;
 };
 
 } // namespace jackdawwind
