Add the picker

Two random candidates of the nearest place, the best kind of candidate first (alive, excluded after failures, suspect).

--- a/packages/decisions/routing/picker.h
+++ b/packages/decisions/routing/picker.h
@@ -12,6 +12,7 @@
 #include <set>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "decisions/overload/level_memory.h"
 #include "util/clock.h"
@@ -47,13 +48,38 @@
 
   void NoteSent(const std::string& aNode);
   void NoteEnded(const std::string& aNode, const AttemptOutcome& aOutcome, Time aNow);
+  /// An attempt was cancelled: says nothing about the node.
+  void NoteCancelled(const std::string& aNode);
   /// Forgets a node that left or died.
   void Forget(const std::string& aNode);
 
 private:
+  /// What this node has seen of another.
+  struct Health
+  {
+    std::uint32_t inFlight = 0;
+    std::uint32_t failuresInARow = 0;
+    /// Length of the last exclusion; zero after a success.
+    Duration exclusion{};
+    Time excludedUntil{};
+  };
+
+  using Candidates = std::vector<const Member*>;
+
+  bool IsExcluded(const std::string& aNode, Time aNow) const;
+  /// Ready candidates of the best kind there is: alive, then alive but excluded, then suspect.
+  Candidates FindCandidates(const std::string& aService,
+                            const std::map<std::string, Member>& aMembers,
+                            Time aNow) const;
+  /// One of those that admit the rank, from the nearest place; null for none.
+  const Member* Choose(const Candidates& aCandidates, std::uint32_t aRank, Time aNow);
+  std::uint64_t LoadOf(const Member& aMember, Time aNow) const;
+  void NoteFailure(Health& aHealth, Time aNow) const;
+
   Options options;
   Random random;
   LevelMemory levels;
+  std::map<std::string, Health> nodes;
 };
 
 } // namespace jackdawwind
