--- /dev/null
+++ b/packages/decisions/config/snapshot_schedule.cc
@@ -0,0 +1,52 @@
+#include "decisions/config/snapshot_schedule.h"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace jackdawwind {
+
+namespace {
+
+/// The random delay is up to this part of the retention: minutes for a retention of a day, while a
+/// snapshot reaches the other domains in seconds.
+constexpr Duration::rep kDelayPart = 100;
+
+constexpr Duration::rep kPublishPart = 3;
+
+} // namespace
+
+SnapshotSchedule::SnapshotSchedule(Duration aRetention, Random& aRandom)
+  : retention(aRetention)
+  , random(aRandom)
+{
+}
+
+void
+SnapshotSchedule::NoteCaughtUp(Time aNow)
+{
+  if (this->due == Time::max()) {
+    this->due = aNow + this->RandomDelay();
+  }
+}
+
+void
+SnapshotSchedule::NotePublished(Time aNow)
+{
+  this->due = aNow + this->retention / kPublishPart + this->RandomDelay();
+}
+
+void
+SnapshotSchedule::Postpone(Time aNow)
+{
+  this->due = aNow + this->RandomDelay() + std::chrono::seconds(1);
+}
+
+Duration
+SnapshotSchedule::RandomDelay()
+{
+  const Duration::rep longest = std::max<Duration::rep>(this->retention.count() / kDelayPart, 1);
+  return Duration(
+    static_cast<Duration::rep>(this->random.Below(static_cast<std::uint64_t>(longest))));
+}
+
+} // namespace jackdawwind
