Adopt an own claim only when nobody ever held it

Cause: a repeat at the same node was refused as duplicate although the first try had been refused as not run. Now a claim that was ever handed out or released is never adopted.

--- a/packages/decisions/claims/claim_shard.cc
+++ b/packages/decisions/claims/claim_shard.cc
@@ -45,7 +45,7 @@
     aDecisions.push_back(this->Loss(aRequest.exchange, *holder, aRequest.fingerprint));
     return;
   }
-  this->ForgetHandedOut(aWall);
+  this->ForgetSettled(aWall);
   const Claim claim({ .organisation = aRequest.organisation,
                       .key = aRequest.key,
                       .fingerprint = aRequest.fingerprint,
@@ -66,7 +66,7 @@
 void
 ClaimShard::Release(const Claim& aClaim)
 {
-  this->handedOut.erase(aClaim.Number());
+  this->settled.insert_or_assign(aClaim.Number(), Settled{ aClaim.At(), true });
   this->toAppend.emplace_back(ClaimRelease({ .organisation = aClaim.GetOrganisation(),
                                              .key = aClaim.Key(),
                                              .owner = aClaim.Owner(),
@@ -105,11 +105,16 @@
 {
   const ClaimHolder* holder = this->table.Find(aClaim.GetOrganisation(), aClaim.Key(), aClaim.At());
   const bool holds = holder != nullptr && holder->id == ClaimId{ aClaim.Owner(), aClaim.Number() };
-  const std::map<std::uint64_t, Pending>::iterator waiting = this->pending.find(aClaim.Number());
+  std::map<std::uint64_t, Pending>::iterator waiting = this->pending.find(aClaim.Number());
+  const std::map<std::uint64_t, Settled>::const_iterator before =
+    this->settled.find(aClaim.Number());
+  if (waiting == this->pending.end() && holds && before == this->settled.end()) {
+    waiting = this->FindSameRequest(aClaim);
+  }
   if (waiting != this->pending.end()) {
     if (holds) {
       this->won.emplace(waiting->second.exchange, aClaim);
-      this->handedOut.emplace(aClaim.Number(), aClaim.At());
+      this->settled.emplace(aClaim.Number(), Settled{ aClaim.At(), false });
       aDecisions.push_back({ waiting->second.exchange, ResultCode::kOk, RunState::kNotRun });
     } else if (holder != nullptr) {
       aDecisions.push_back(this->Loss(waiting->second.exchange, *holder, aClaim.Fingerprint()));
@@ -117,22 +122,35 @@
     this->pending.erase(waiting);
     return;
   }
-  if (holds && !this->handedOut.contains(aClaim.Number())) {
+  if (holds && (before == this->settled.end() || before->second.released)) {
     // The caller was refused as not run, or has gone: without a release the key would stay claimed.
     this->Release(aClaim);
   }
 }
 
 void
-ClaimShard::ForgetHandedOut(std::chrono::microseconds aWall)
+ClaimShard::ForgetSettled(std::chrono::microseconds aWall)
 {
   // Numbers grow with time, so the oldest stand first.
-  while (!this->handedOut.empty() &&
-         this->handedOut.begin()->second + 2 * this->options.window < aWall) {
-    this->handedOut.erase(this->handedOut.begin());
+  while (!this->settled.empty() &&
+         this->settled.begin()->second.at + 2 * this->options.window < aWall) {
+    this->settled.erase(this->settled.begin());
   }
 }
 
+std::map<std::uint64_t, ClaimShard::Pending>::iterator
+ClaimShard::FindSameRequest(const Claim& aClaim)
+{
+  return std::find_if(this->pending.begin(),
+                      this->pending.end(),
+                      [&aClaim](const std::pair<const std::uint64_t, Pending>& aEntry) {
+                        const Claim& other = aEntry.second.claim;
+                        return other.GetOrganisation() == aClaim.GetOrganisation() &&
+                               other.Key() == aClaim.Key() &&
+                               other.Fingerprint() == aClaim.Fingerprint();
+                      });
+}
+
 ClaimDecision
 ClaimShard::Loss(std::uint64_t aExchange,
                  const ClaimHolder& aHolder,
@@ -171,6 +189,7 @@
                  std::vector<ClaimDecision>& aDecisions)
 {
   this->ExpirePending(aNow, aDecisions);
+  this->DropUnwanted();
   if (this->toAppend.empty() || this->ticket != 0 || aNow < this->appendAt) {
     return;
   }
@@ -185,6 +204,16 @@
     { .ticket = this->ticket, .stream = this->options.stream, .records = this->inFlight }));
 }
 
+void
+ClaimShard::DropUnwanted()
+{
+  // A claim that nobody waits for would only stand in the way of the caller's next try.
+  std::erase_if(this->toAppend, [this](const Record& aRecord) {
+    const Claim* claim = std::get_if<Claim>(&aRecord);
+    return claim != nullptr && !this->pending.contains(claim->Number());
+  });
+}
+
 void
 ClaimShard::ExpirePending(Time aNow, std::vector<ClaimDecision>& aDecisions)
 {
--- a/packages/decisions/claims/claim_shard.h
+++ b/packages/decisions/claims/claim_shard.h
@@ -86,8 +86,18 @@
     Time deadline{};
   };
 
+  /// What became of a claim that won.
+  struct Settled
+  {
+    std::chrono::microseconds at{};
+    bool released = false;
+  };
+
   void Decide(const Claim& aClaim, std::vector<ClaimDecision>& aDecisions);
-  void ForgetHandedOut(std::chrono::microseconds aWall);
+  /// A waiting repeat of the request that a claim was made for; it takes over the claim.
+  std::map<std::uint64_t, Pending>::iterator FindSameRequest(const Claim& aClaim);
+  void DropUnwanted();
+  void ForgetSettled(std::chrono::microseconds aWall);
   void ExpirePending(Time aNow, std::vector<ClaimDecision>& aDecisions);
   ClaimDecision Loss(std::uint64_t aExchange,
                      const ClaimHolder& aHolder,
@@ -101,9 +111,10 @@
   std::uint64_t nextOffset = 0;
   std::map<std::uint64_t, Pending> pending;
   std::map<std::uint64_t, Claim> won;
-  /// Numbers of claims whose call was let go on, with the claim's wall time. A second record of
-  /// such a claim, left by a repeated append, must not release the key.
-  std::map<std::uint64_t, std::chrono::microseconds> handedOut;
+  /// Claims of this owner that were read as winners, by number; a repeated append can leave a
+  /// second record of such a claim, which must neither release a running call's key nor be taken
+  /// over.
+  std::map<std::uint64_t, Settled> settled;
   std::deque<Record> toAppend;
   std::vector<Record> inFlight;
   std::uint64_t ticket = 0;
