--- /dev/null
+++ b/bench/overload_experiment.cc
@@ -0,0 +1,522 @@
+// Compares the shedding policies with no admission control at all, in simulated time.
+//
+//   overload_experiment            prints Markdown tables; takes no arguments
+//
+// Clients of eight organisations call one target; a request refused or not answered in time is sent
+// again, up to three times. One organisation sends 40% of all requests. The same seeds, and so the
+// same arrivals, are used for every variant. Everything runs in simulated time on one thread: the
+// figures depend on the seeds only, not on the machine.
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdint>
+#include <cstdio>
+#include <deque>
+#include <functional>
+#include <map>
+#include <queue>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "decisions/overload/admission_controller.h"
+#include "util/random.h"
+
+namespace jackdawwind {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Slots and connections of the service "fuel"; a caller without a limit opens all its connections.
+constexpr std::uint32_t kSlots = 25;
+constexpr std::uint32_t kConnections = 240;
+constexpr Duration kFixedService = milliseconds(5);
+constexpr Duration kVariableService = milliseconds(15);
+constexpr double kCapacity = kSlots / 0.020; // calls per second with all slots busy
+/// Service time grows with (running / slots) to this power above the slots, so throughput falls.
+constexpr double kDegradation = 1.3;
+
+constexpr Duration kCallTimeout = milliseconds(500);
+constexpr Duration kBackoff = milliseconds(50);
+constexpr std::uint32_t kMaxAttempts = 4;
+/// Longer than a request can take with all its attempts.
+constexpr Duration kTail = kMaxAttempts * (kCallTimeout + 2 * kBackoff);
+
+constexpr std::size_t kOrganisations = 8;
+constexpr double kLargestPart = 0.4;
+constexpr std::array<double, 4> kClassParts = { 0.1, 0.2, 0.5, 0.2 };
+
+constexpr int kSeeds = 5;
+constexpr Duration kBin = milliseconds(200);
+constexpr double kRecoveredPart = 0.95;
+constexpr std::size_t kRecoveredBins = 5;
+
+/// No admission control: calls run in order of arrival, as many at once as there are connections.
+class FifoGate
+{
+public:
+  explicit FifoGate(std::uint32_t aConnections)
+    : connections(aConnections)
+  {
+  }
+
+  AdmissionVerdicts Offer(const PendingCall& aCall, Time aNow)
+  {
+    this->waiting.push_back(aCall);
+    return this->StartNext(aNow);
+  }
+  AdmissionVerdicts Finished(std::uint64_t /*aExchange*/,
+                             const TargetOutcome& /*aOutcome*/,
+                             Time aNow)
+  {
+    --this->running;
+    return this->StartNext(aNow);
+  }
+  AdmissionVerdicts Poll(Time /*aNow*/) { return {}; }
+  Time NextWake() const { return Time::max(); }
+
+private:
+  AdmissionVerdicts StartNext(Time aNow)
+  {
+    AdmissionVerdicts verdicts;
+    while (this->running < this->connections && !this->waiting.empty()) {
+      const PendingCall& call = this->waiting.front();
+      verdicts.push_back(StartCall{ .exchange = call.exchange, .queued = aNow - call.arrived });
+      this->waiting.pop_front();
+      ++this->running;
+    }
+    return verdicts;
+  }
+
+  std::uint32_t connections;
+  std::uint32_t running = 0;
+  std::deque<PendingCall> waiting;
+};
+
+using Gate = std::variant<FifoGate, AdmissionController>;
+
+enum class Variant
+{
+  kOff,
+  /// No admission control, but the callers open no more connections than the target has slots.
+  kOffSlots,
+  kGoodput,
+  kFairness,
+};
+
+constexpr std::array<std::pair<Variant, const char*>, 4> kVariants = { {
+  { Variant::kOff, "off" },
+  { Variant::kOffSlots, "off, connections = slots" },
+  { Variant::kGoodput, "goodput" },
+  { Variant::kFairness, "fairness" },
+} };
+
+bool
+IsOff(Variant aVariant)
+{
+  return aVariant == Variant::kOff || aVariant == Variant::kOffSlots;
+}
+
+void
+SetUpGate(Gate& aGate, Variant aVariant)
+{
+  if (IsOff(aVariant)) {
+    aGate.emplace<FifoGate>(aVariant == Variant::kOff ? kConnections : kSlots);
+    return;
+  }
+  AdmissionController& controller = aGate.emplace<AdmissionController>();
+  const PolicyKind kind =
+    aVariant == Variant::kFairness ? PolicyKind::kFairness : PolicyKind::kGoodput;
+  controller.Configure(Policy({ .kind = kind }), kSlots, {});
+  controller.SetTargetState(TargetState::kStarting, Time{});
+  controller.SetTargetState(TargetState::kReady, Time{});
+}
+
+/// Target with fixed slots that slows down when more calls run.
+class FakeTarget
+{
+public:
+  explicit FakeTarget(std::uint64_t aSeed)
+    : random(aSeed)
+  {
+  }
+
+  /// Begins a call; returns how long it takes. aSlowness stretches it.
+  Duration Begin(double aSlowness)
+  {
+    ++this->running;
+    const double excess = std::max(1.0, static_cast<double>(this->running) / kSlots);
+    const double variable = -std::log(1 - this->random.Fraction());
+    return std::chrono::duration_cast<Duration>((kFixedService + kVariableService * variable) *
+                                                (std::pow(excess, kDegradation) * aSlowness));
+  }
+  void End() { --this->running; }
+
+private:
+  Random random;
+  std::uint32_t running = 0;
+};
+
+/// Offered load as a part of the capacity, and slowness of the target, over time.
+struct Scenario
+{
+  double load = 1;
+  double disturbedLoad = 1;
+  double disturbedSlowness = 1;
+  Duration disturbedFrom{};
+  Duration disturbedTo{};
+  /// Requests that arrive in this time count.
+  Duration from{};
+  Duration to{};
+
+  bool Disturbed(Time aNow) const
+  {
+    const Duration at = aNow.time_since_epoch();
+    return at >= this->disturbedFrom && at < this->disturbedTo;
+  }
+  double LoadAt(Time aNow) const
+  {
+    return this->Disturbed(aNow) ? this->disturbedLoad : this->load;
+  }
+  double SlownessAt(Time aNow) const { return this->Disturbed(aNow) ? this->disturbedSlowness : 1; }
+};
+
+double
+PartOf(std::size_t aOrganisation)
+{
+  return aOrganisation == 0 ? kLargestPart : (1 - kLargestPart) / (kOrganisations - 1);
+}
+
+struct Request
+{
+  std::size_t organisation = 0;
+  Importance importance = Importance::kNormal;
+  std::uint32_t priority = 0;
+  Time arrived{};
+  std::uint32_t attempts = 0;
+  bool answered = false;
+};
+
+struct Attempt
+{
+  std::size_t request = 0;
+  Time deadline{};
+  /// Answered or refused: the client no longer waits for it.
+  bool over = false;
+};
+
+/// One run of clients, gate and target.
+class Simulation
+{
+public:
+  Simulation(Variant aVariant, const Scenario& aScenario, std::uint64_t aSeed)
+    : scenario(aScenario)
+    , cancels(!IsOff(aVariant))
+    , arrivals(aSeed)
+    , choices(aSeed + 1)
+    , target(aSeed + 2)
+  {
+    SetUpGate(this->gate, aVariant);
+  }
+
+  /// Requests with their fate, in order of arrival.
+  std::vector<Request> Run()
+  {
+    for (std::size_t organisation = 0; organisation < kOrganisations; ++organisation) {
+      this->ScheduleArrival(organisation);
+    }
+    const Time end = Time{} + this->scenario.to + kTail;
+    while (!this->agenda.empty() && this->agenda.top().at < end) {
+      const Entry entry = this->agenda.top();
+      this->agenda.pop();
+      this->now = entry.at;
+      entry.action();
+    }
+    return std::move(this->requests);
+  }
+
+private:
+  struct Entry
+  {
+    Time at{};
+    std::uint64_t order = 0;
+    std::function<void()> action;
+    bool operator<(const Entry& aOther) const
+    {
+      return std::pair(this->at, this->order) > std::pair(aOther.at, aOther.order);
+    }
+  };
+
+  void Schedule(Time aAt, std::function<void()> aAction)
+  {
+    this->agenda.push({ .at = aAt, .order = ++this->lastOrder, .action = std::move(aAction) });
+  }
+
+  void ScheduleArrival(std::size_t aOrganisation)
+  {
+    const double rate = kCapacity * PartOf(aOrganisation) * this->scenario.LoadAt(this->now);
+    const std::chrono::duration<double> gap(-std::log(1 - this->arrivals.Fraction()) / rate);
+    const Time at = this->now + std::chrono::duration_cast<Duration>(gap);
+    // Requests go on arriving after the window, or those at its end would meet an idle target.
+    if (at.time_since_epoch() < this->scenario.to + kTail) {
+      this->Schedule(at, [this, aOrganisation] { this->Arrive(aOrganisation); });
+    }
+  }
+
+  void Arrive(std::size_t aOrganisation)
+  {
+    Request request{ .organisation = aOrganisation,
+                     .priority = static_cast<std::uint32_t>(this->arrivals.Below(256)),
+                     .arrived = this->now };
+    double draw = this->arrivals.Fraction();
+    std::size_t importance = 0;
+    while (importance + 1 < kClassParts.size() && draw >= kClassParts[importance]) {
+      draw -= kClassParts[importance];
+      ++importance;
+    }
+    request.importance = static_cast<Importance>(importance);
+    this->requests.push_back(request);
+    this->Send(this->requests.size() - 1);
+    this->ScheduleArrival(aOrganisation);
+  }
+
+  void Send(std::size_t aRequest)
+  {
+    Request& request = this->requests[aRequest];
+    ++request.attempts;
+    const std::uint64_t exchange = this->attempts.size();
+    const Time deadline = this->now + kCallTimeout;
+    this->attempts.push_back({ .request = aRequest, .deadline = deadline });
+    this->Schedule(deadline, [this, exchange] { this->GiveUp(exchange); });
+    const PendingCall call{ .exchange = exchange,
+                            .organisation = "organisation" + std::to_string(request.organisation),
+                            .importance = request.importance,
+                            .priority = request.priority,
+                            .arrived = this->now,
+                            .deadline = deadline };
+    this->Apply(std::visit([&](auto& aGate) { return aGate.Offer(call, this->now); }, this->gate));
+  }
+
+  /// The client does not wait any longer, or was refused: it sends the request again.
+  void GiveUp(std::uint64_t aExchange)
+  {
+    Attempt& attempt = this->attempts[aExchange];
+    if (attempt.over) {
+      return;
+    }
+    attempt.over = true;
+    const std::size_t index = attempt.request;
+    if (this->requests[index].attempts < kMaxAttempts) {
+      const Duration jitter = Duration(this->choices.Below(kBackoff.count()));
+      this->Schedule(this->now + kBackoff + jitter, [this, index] { this->Send(index); });
+    }
+  }
+
+  void Apply(const AdmissionVerdicts& aVerdicts)
+  {
+    for (const AdmissionVerdict& verdict : aVerdicts) {
+      std::visit([this](const auto& aKind) { this->ApplyOne(aKind); }, verdict);
+    }
+    const Time wake = std::visit([](const auto& aGate) { return aGate.NextWake(); }, this->gate);
+    if (wake < this->nextWake) {
+      this->nextWake = wake;
+      this->Schedule(wake, [this] { this->Wake(); });
+    }
+  }
+
+  void ApplyOne(const RejectCall& aVerdict) { this->GiveUp(aVerdict.exchange); }
+
+  void ApplyOne(const StartCall& aVerdict)
+  {
+    const std::uint64_t exchange = aVerdict.exchange;
+    const Time ends = this->now + this->target.Begin(this->scenario.SlownessAt(this->now));
+    const Time deadline = this->attempts[exchange].deadline;
+    const bool cancelled = this->cancels && ends > deadline;
+    this->Schedule(cancelled ? deadline : ends,
+                   [this, exchange, cancelled] { this->End(exchange, cancelled); });
+  }
+
+  void End(std::uint64_t aExchange, bool aCancelled)
+  {
+    this->target.End();
+    Attempt& attempt = this->attempts[aExchange];
+    if (!aCancelled && !attempt.over) {
+      attempt.over = true;
+      this->requests[attempt.request].answered = true;
+    }
+    const TargetOutcome outcome =
+      aCancelled ? TargetOutcome(TimedOut()) : TargetOutcome(TargetAnswered({ .status = 200 }));
+    this->Apply(std::visit(
+      [&](auto& aGate) { return aGate.Finished(aExchange, outcome, this->now); }, this->gate));
+  }
+
+  void Wake()
+  {
+    if (this->now == this->nextWake) {
+      this->nextWake = Time::max();
+      this->Apply(std::visit([this](auto& aGate) { return aGate.Poll(this->now); }, this->gate));
+    }
+  }
+
+  Scenario scenario;
+  bool cancels;
+  Random arrivals;
+  Random choices;
+  FakeTarget target;
+  Gate gate = FifoGate(kSlots);
+  Time now{};
+  Time nextWake = Time::max();
+  std::uint64_t lastOrder = 0;
+  std::priority_queue<Entry> agenda;
+  std::vector<Request> requests;
+  std::vector<Attempt> attempts;
+};
+
+struct Figures
+{
+  double goodput = 0;
+  double critical = 0;
+  double worst = 0;
+};
+
+/// Figures over the requests that arrived in the scenario's window.
+Figures
+Measure(const std::vector<Request>& aRequests, const Scenario& aScenario)
+{
+  double answered = 0;
+  double critical = 0;
+  double criticalAnswered = 0;
+  std::array<double, kOrganisations> sent{};
+  std::array<double, kOrganisations> served{};
+  for (const Request& request : aRequests) {
+    const Duration arrived = request.arrived.time_since_epoch();
+    if (arrived < aScenario.from || arrived >= aScenario.to) {
+      continue;
+    }
+    const double one = request.answered ? 1 : 0;
+    answered += one;
+    sent[request.organisation] += 1;
+    served[request.organisation] += one;
+    if (request.importance == Importance::kCritical) {
+      critical += 1;
+      criticalAnswered += one;
+    }
+  }
+  const double capacity =
+    kCapacity * std::chrono::duration<double>(aScenario.to - aScenario.from).count();
+  double worst = 1;
+  for (std::size_t organisation = 0; organisation < kOrganisations; ++organisation) {
+    const double entitled = std::min(sent[organisation], capacity / kOrganisations);
+    worst = std::min(worst, served[organisation] / entitled);
+  }
+  return { .goodput = answered / capacity,
+           .critical = criticalAnswered / critical,
+           .worst = worst };
+}
+
+/// Seconds from the end of the disturbance until requests are answered at the first attempt again;
+/// negative when this was not reached.
+double
+RecoveryTime(const std::vector<Request>& aRequests, const Scenario& aScenario)
+{
+  const std::size_t bins = static_cast<std::size_t>((aScenario.to - aScenario.disturbedTo) / kBin);
+  std::vector<double> sent(bins);
+  std::vector<double> good(bins);
+  for (const Request& request : aRequests) {
+    const Duration since = request.arrived.time_since_epoch() - aScenario.disturbedTo;
+    if (since >= Duration::zero() && since < kBin * bins) {
+      const std::size_t bin = static_cast<std::size_t>(since / kBin);
+      sent[bin] += 1;
+      good[bin] += request.answered && request.attempts == 1 ? 1 : 0;
+    }
+  }
+  std::size_t run = 0;
+  for (std::size_t bin = 0; bin < bins; ++bin) {
+    run = good[bin] >= kRecoveredPart * sent[bin] ? run + 1 : 0;
+    if (run == kRecoveredBins) {
+      return static_cast<double>(bin + 1 - kRecoveredBins) *
+             std::chrono::duration<double>(kBin).count();
+    }
+  }
+  return -1;
+}
+
+double
+Median(std::vector<double> aValues)
+{
+  std::sort(aValues.begin(), aValues.end());
+  return aValues[aValues.size() / 2];
+}
+
+void
+PrintLoads()
+{
+  std::printf("| load | policy | goodput / capacity | critical requests answered | "
+              "worst-served organisation |\n| --- | --- | --- | --- | --- |\n");
+  for (const double load : { 0.7, 1.0, 2.0, 4.0 }) {
+    const Scenario scenario{ .load = load, .from = seconds(2), .to = seconds(10) };
+    for (const auto& [variant, name] : kVariants) {
+      std::vector<double> goodput;
+      std::vector<double> critical;
+      std::vector<double> worst;
+      for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+        const Figures figures = Measure(Simulation(variant, scenario, seed * 100).Run(), scenario);
+        goodput.push_back(figures.goodput);
+        critical.push_back(figures.critical);
+        worst.push_back(figures.worst);
+      }
+      std::printf("| %.2gx | %s | %.2f | %.3f | %.2f |\n",
+                  load,
+                  name,
+                  Median(goodput),
+                  Median(critical),
+                  Median(worst));
+    }
+  }
+}
+
+void
+PrintRecoveries()
+{
+  Scenario surge{ .load = 0.8,
+                  .disturbedLoad = 4,
+                  .disturbedFrom = seconds(4),
+                  .disturbedTo = seconds(7),
+                  .to = seconds(27) };
+  Scenario slowdown = surge;
+  slowdown.disturbedLoad = surge.load;
+  slowdown.disturbedSlowness = 4;
+  const std::array<std::pair<const char*, Scenario>, 2> scenarios = { {
+    { "surge: 4x capacity for 3 s", surge },
+    { "slow target: 4x service time for 3 s", slowdown },
+  } };
+  std::printf("\n| disturbance | policy | recovery time |\n| --- | --- | --- |\n");
+  for (const auto& [disturbance, scenario] : scenarios) {
+    for (const auto& [variant, name] : kVariants) {
+      std::vector<double> times;
+      for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+        const double time = RecoveryTime(Simulation(variant, scenario, seed * 100).Run(), scenario);
+        times.push_back(time < 0 ? HUGE_VAL : time);
+      }
+      const double median = Median(times);
+      if (median == HUGE_VAL) {
+        std::printf("| %s | %s | not within 20 s |\n", disturbance, name);
+      } else {
+        std::printf("| %s | %s | %.1f s |\n", disturbance, name, median);
+      }
+    }
+  }
+}
+
+} // namespace
+} // namespace jackdawwind
+
+int
+main()
+{
+  jackdawwind::PrintLoads();
+  jackdawwind::PrintRecoveries();
+  return 0;
+}
