--- a/packages/decisions/config/control_follower.cc
+++ b/packages/decisions/config/control_follower.cc
@@ -18,8 +18,9 @@
 /// Other nodes read the log themselves after this time without a relay.
 constexpr Duration kReadAfterSilence = std::chrono::seconds(3);
 
-/// The same when relays come but their news are old, because the readers do not reach the log.
-constexpr Duration kReadAfterOldNews = std::chrono::seconds(10);
+/// The same when relays come but their news are old, because the readers do not reach the log. A
+/// random part of up to the same length keeps the nodes from trying at once during an outage.
+constexpr Duration kReadAfterOldNews = std::chrono::seconds(30);
 
 /// A node without news asks a peer this often.
 constexpr Duration kAskInterval = std::chrono::seconds(2);
@@ -72,9 +73,12 @@
   , tickets(aTickets)
   , random(aSeed)
   , tree(this->options.self.Node())
-  , snapshots(this->options.retention, this->random)
+  , snapshots(this->options.retention, aSeed)
   , newsAt(Time{} - kNeverHeard)
 {
+  const std::uint64_t longest = static_cast<std::uint64_t>(kReadAfterOldNews.count());
+  this->readAfterOldNews =
+    kReadAfterOldNews + Duration(static_cast<Duration::rep>(this->random.Below(longest)));
 }
 
 void
@@ -89,11 +93,13 @@
 void
 ControlFollower::Receive(const LogRead& aRead, Time aNow, Effects& aEffects)
 {
-  if (aRead.Stream() != kControlStream) {
+  // A batch that was under way when following ended may lie beyond a gap.
+  if (aRead.Stream() != kControlStream || !this->following) {
     return;
   }
   this->NoticePause(aNow);
   this->SetLogReachable(true, aEffects);
+  this->NoteAnnouncements(aRead.Records());
   this->NoteSnapshots(aRead, aNow);
   if (!this->gap && aRead.FirstRetained() > this->state.Offset()) {
     this->gap = Gap{ aRead.FirstRetained(), {} };
@@ -164,6 +170,7 @@
 ControlFollower::Receive(const ConfigRelay& aRelay, Time aNow, Effects& aEffects)
 {
   this->NoticePause(aNow);
+  this->NoteAnnouncements(aRelay.Records());
   const std::string before = this->state.Revision();
   if (aRelay.State() && aRelay.State()->AsOf() > this->state.Offset()) {
     this->Adopt(*aRelay.State(), aEffects);
@@ -232,7 +239,8 @@
   this->nextTick = aNow + kTick;
   this->UpdateFollowing(aNow, aEffects);
   this->AskForNews(aNow, aEffects);
-  if (this->tree.IsReader() && aNow - this->relayedAt >= kConfirmInterval) {
+  const bool hasSource = this->tree.IsReader() || this->following;
+  if (hasSource && aNow - this->relayedAt >= kConfirmInterval) {
     this->RelayDown(aNow, aEffects);
   }
   if (aNow >= this->snapshots.Due()) {
@@ -282,12 +290,14 @@
 ControlFollower::UpdateFollowing(Time aNow, Effects& aEffects)
 {
   const bool silent = aNow - this->heardAt >= kReadAfterSilence;
-  const bool wanted = this->tree.IsReader() || silent || this->NewsAge(aNow) >= kReadAfterOldNews;
+  const bool wanted =
+    this->tree.IsReader() || silent || this->NewsAge(aNow) >= this->readAfterOldNews;
   if (wanted && !this->following) {
     this->FollowFrom(this->state.Offset(), aEffects);
-  } else if (!wanted && this->following) {
+  } else if (!wanted && this->following && !this->gap) {
+    // Within a gap the position is ahead of the state; to begin again at the state could leave out
+    // records that are under way.
     this->following = false;
-    this->gap.reset();
     aEffects.push_back(StopFollowing({ .stream = kControlStream }));
   }
 }
@@ -303,9 +313,6 @@
                LogEvent::kRecordSkipped,
                "offset " + std::to_string(aRecord.Offset()) + ": " + corrupt->Reason());
   }
-  if (const NodeAnnounced* announced = std::get_if<NodeAnnounced>(&aRecord.GetRecord())) {
-    this->announcements.push_back(*announced);
-  }
   std::visit(RecordNews{ aEffects }, this->state.Apply(aRecord));
   this->history.Add(aRecord);
 }
@@ -362,6 +369,17 @@
   }
 }
 
+void
+ControlFollower::NoteAnnouncements(const std::vector<LogRecord>& aRecords)
+{
+  for (const LogRecord& record : aRecords) {
+    const NodeAnnounced* announced = std::get_if<NodeAnnounced>(&record.GetRecord());
+    if (announced != nullptr && record.Offset() >= this->state.Offset()) {
+      this->announcements.push_back(*announced);
+    }
+  }
+}
+
 void
 ControlFollower::NoteSnapshots(const LogRead& aRead, Time aNow)
 {
@@ -392,8 +410,11 @@
 void
 ControlFollower::RelayDown(Time aNow, Effects& aEffects)
 {
-  const std::optional<std::vector<LogRecord>> records = this->history.After(this->relayedOffset);
-  // Children that lack more than the records at hand ask for the state.
+  std::optional<std::vector<LogRecord>> records = this->history.After(this->relayedOffset);
+  if (records && records->size() > kMaxRelayedRecords) {
+    records.reset();
+  }
+  // Children that lack more than these records ask for the state.
   const std::uint64_t from = records ? this->relayedOffset : this->state.Offset();
   this->relayedOffset = this->state.Offset();
   this->relayedAt = aNow;
--- a/packages/decisions/config/control_follower.h
+++ b/packages/decisions/config/control_follower.h
@@ -89,6 +89,7 @@
   void KeepForGap(const LogRead& aRead, Effects& aEffects);
   /// Applies the kept records when the state reaches them.
   void TryCloseGap(Effects& aEffects);
+  void NoteAnnouncements(const std::vector<LogRecord>& aRecords);
   void NoteSnapshots(const LogRead& aRead, Time aNow);
   void SetLogReachable(bool aReachable, Effects& aEffects);
 
@@ -124,6 +125,7 @@
   /// News that were not asked for do not count until then; see NoticePause.
   Time distrustUntil{};
   Time nextTick = Time::max();
+  Duration readAfterOldNews{};
 
   std::uint64_t relayedOffset = 0;
   Time relayedAt{};
--- a/packages/decisions/config/snapshot_schedule.cc
+++ b/packages/decisions/config/snapshot_schedule.cc
@@ -15,9 +15,9 @@
 
 } // namespace
 
-SnapshotSchedule::SnapshotSchedule(Duration aRetention, Random& aRandom)
+SnapshotSchedule::SnapshotSchedule(Duration aRetention, std::uint64_t aSeed)
   : retention(aRetention)
-  , random(aRandom)
+  , random(aSeed)
 {
 }
 
--- a/packages/decisions/config/snapshot_schedule.h
+++ b/packages/decisions/config/snapshot_schedule.h
@@ -7,6 +7,8 @@
 // one domain publishes and the others read its snapshot first.
 #pragma once
 
+#include <cstdint>
+
 #include "util/clock.h"
 #include "util/random.h"
 
@@ -15,7 +17,7 @@
 class SnapshotSchedule
 {
 public:
-  SnapshotSchedule(Duration aRetention, Random& aRandom);
+  SnapshotSchedule(Duration aRetention, std::uint64_t aSeed);
 
   /// The end of the stream was reached for the first time. Records have no time, so the age of a
   /// snapshot read on the way is not known, and one is due soon.
@@ -32,7 +34,7 @@
   Duration RandomDelay();
 
   Duration retention;
-  Random& random;
+  Random random;
   Time due = Time::max();
 };
 
