--- /dev/null
+++ b/packages/decisions/tests/membership_fleet_test.cc
@@ -0,0 +1,311 @@
+// Guards against fleets that do not agree on their members, live nodes that stay dead, dead nodes
+// that come back, and frozen nodes that declare others dead after they wake.
+#include "decisions/tests/membership_fleet.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <iostream>
+
+#include <gtest/gtest.h>
+
+namespace jackdawwind {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr int kDomains = 4;
+const char* const kDomainNames[kDomains] = { "ikeja", "apapa", "sharada", "bompai" };
+
+/// Seeds of randomised runs: JACKDAW_SEED alone, or a few fixed ones.
+std::vector<std::uint64_t>
+Seeds()
+{
+  if (const char* given = std::getenv("JACKDAW_SEED")) {
+    return { std::strtoull(given, nullptr, 10) };
+  }
+  return { 1, 2, 3, 4, 5 };
+}
+
+Fleet::NodeOptions
+NodeAt(int aIndex, std::vector<PeerAddress> aSeeds, std::uint64_t aIncarnation = 1)
+{
+  const int domain = aIndex % kDomains;
+  return { .node = "node-" + std::to_string(100 + aIndex),
+           .domain = kDomainNames[domain],
+           .region = domain < kDomains / 2 ? "lagos" : "kano",
+           .incarnation = aIncarnation,
+           .seeds = std::move(aSeeds) };
+}
+
+std::string
+Name(int aIndex)
+{
+  return NodeAt(aIndex, {}).node;
+}
+
+/// Starts aCount nodes that know only the first.
+std::vector<PeerAddress>
+StartFleet(Fleet& aFleet, int aCount)
+{
+  std::vector<PeerAddress> seeds;
+  for (int index = 0; index < aCount; ++index) {
+    const PeerAddress address = aFleet.Add(NodeAt(index, seeds));
+    if (seeds.empty()) {
+      seeds.push_back(address);
+    }
+  }
+  return seeds;
+}
+
+/// Why the tables are not those of a quiet fleet; empty when they are: all equal, all processes
+/// alive in them, nobody else.
+std::string
+Disagreement(const Fleet& aFleet)
+{
+  const std::vector<std::string> nodes = aFleet.Nodes();
+  for (const std::string& node : nodes) {
+    const std::map<std::string, Member>& members = aFleet.At(node).Members();
+    if (members != aFleet.At(nodes.front()).Members()) {
+      return node + " and " + nodes.front() + " have different tables";
+    }
+    if (members.size() != nodes.size()) {
+      return node + " knows " + std::to_string(members.size()) + " of " +
+             std::to_string(nodes.size()) + " members";
+    }
+    for (const std::pair<const std::string, Member>& entry : members) {
+      const bool exists = std::binary_search(nodes.begin(), nodes.end(), entry.first);
+      if (!exists || entry.second.State() != NodeState::kAlive) {
+        return node + " has a wrong state of " + entry.first;
+      }
+    }
+  }
+  return "";
+}
+
+/// Whether every running node holds aNode in aState.
+bool
+AllHold(const Fleet& aFleet, const std::string& aNode, NodeState aState)
+{
+  for (const std::string& node : aFleet.Nodes()) {
+    const std::map<std::string, Member>& members = aFleet.At(node).Members();
+    const std::map<std::string, Member>::const_iterator found = members.find(aNode);
+    if (node != aNode && (found == members.end() || found->second.State() != aState)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+constexpr int kNodes = 24;
+
+/// A disturbance of a running fleet.
+struct Scenario
+{
+  const char* name;
+  Fleet::Options network;
+  std::function<void(Fleet&)> disturb;
+};
+
+void
+LoseMessages(Fleet& aFleet)
+{
+  aFleet.Run(minutes(3));
+}
+
+void
+CrashTwo(Fleet& aFleet)
+{
+  aFleet.Crash(Name(5));
+  aFleet.Crash(Name(6));
+}
+
+void
+RestartOne(Fleet& aFleet)
+{
+  const PeerAddress seed = aFleet.At(Name(0)).LiveOf(kDomainNames[0]).front();
+  aFleet.Add(NodeAt(7, { seed }, 2));
+}
+
+void
+ReplaceAll(Fleet& aFleet)
+{
+  PeerAddress seed = aFleet.At(Name(1)).LiveOf(kDomainNames[1]).front();
+  for (int index = 0; index < kNodes; ++index) {
+    aFleet.Act(Name(index), [](Membership& aMember, Time aNow, Effects& aEffects) {
+      aMember.Leave(aNow, aEffects);
+    });
+    aFleet.Run(seconds(3));
+    // The new process is told the address of one that started before it and is not yet replaced.
+    seed = aFleet.Add(NodeAt(index, { seed }, 2));
+  }
+}
+
+void
+PartitionRegion(Fleet& aFleet)
+{
+  aFleet.Partition({ kDomainNames[0], kDomainNames[1] });
+  aFleet.Run(minutes(5));
+  aFleet.Heal();
+}
+
+void
+PartitionBriefly(Fleet& aFleet)
+{
+  aFleet.Partition({ kDomainNames[2] });
+  aFleet.Run(seconds(8));
+  aFleet.Heal();
+}
+
+void
+FreezeForLong(Fleet& aFleet)
+{
+  aFleet.Freeze(Name(3));
+  aFleet.Run(minutes(3));
+  aFleet.Wake(Name(3));
+}
+
+void
+FreezeSeed(Fleet& aFleet)
+{
+  aFleet.Freeze(Name(0));
+  aFleet.Run(seconds(20));
+  aFleet.Wake(Name(0));
+}
+
+TEST(MembershipFleet, AgreesAfterEveryDisturbance)
+{
+  const Scenario scenarios[] = {
+    { "forms from one seed", {}, [](Fleet& /*aFleet*/) {} },
+    { "loss and duplicates", { .loss = 0.05, .duplicate = 0.05 }, LoseMessages },
+    { "slow network", { .jitter = milliseconds(150) }, LoseMessages },
+    { "crash", {}, CrashTwo },
+    { "crash with loss", { .loss = 0.05 }, CrashTwo },
+    { "restart", {}, RestartOne },
+    { "rolling replacement", { .loss = 0.02 }, ReplaceAll },
+    { "long partition of regions", {}, PartitionRegion },
+    { "short partition of a domain", { .loss = 0.02 }, PartitionBriefly },
+    { "long freeze", {}, FreezeForLong },
+    { "freeze of the seed", {}, FreezeSeed },
+  };
+  for (const Scenario& scenario : scenarios) {
+    for (const std::uint64_t seed : Seeds()) {
+      SCOPED_TRACE(std::string(scenario.name) + ", JACKDAW_SEED=" + std::to_string(seed));
+      Fleet::Options network = scenario.network;
+      network.seed = seed;
+      Fleet fleet(network);
+      StartFleet(fleet, kNodes);
+      fleet.Run(seconds(60));
+      scenario.disturb(fleet);
+      // Loss goes on, so that a suspicion may be under way at any one moment.
+      fleet.Run(seconds(80));
+      const bool agreed =
+        fleet.RunUntil(seconds(60), [&fleet] { return Disagreement(fleet).empty(); });
+      EXPECT_TRUE(agreed) << Disagreement(fleet);
+    }
+  }
+}
+
+TEST(MembershipFleet, AFrozenNodeThatWakesDeclaresNobodyDead)
+{
+  for (const std::uint64_t seed : Seeds()) {
+    for (const milliseconds frozen :
+         { milliseconds(700), milliseconds(5000), milliseconds(90000) }) {
+      SCOPED_TRACE("JACKDAW_SEED=" + std::to_string(seed) + ", frozen for " +
+                   std::to_string(frozen.count()) + " ms");
+      Fleet fleet({ .seed = seed });
+      StartFleet(fleet, kNodes);
+      fleet.Run(seconds(60));
+      const int before = fleet.CountOf(LogEvent::kMemberDied);
+      fleet.Freeze(Name(3));
+      fleet.Run(frozen);
+      const int duringFreeze = fleet.CountOf(LogEvent::kMemberDied);
+      fleet.Wake(Name(3));
+      fleet.Run(seconds(30));
+      EXPECT_EQ(fleet.CountOf(LogEvent::kMemberDied), duringFreeze);
+      // Only the frozen node itself may have been declared dead, once by each other node.
+      EXPECT_LE(duringFreeze - before, kNodes - 1);
+      EXPECT_EQ(Disagreement(fleet), "");
+    }
+  }
+}
+
+TEST(MembershipFleet, ACrashedNodeIsDeadEverywhereAndThenForgotten)
+{
+  for (const std::uint64_t seed : Seeds()) {
+    SCOPED_TRACE("JACKDAW_SEED=" + std::to_string(seed));
+    Fleet fleet({ .seed = seed });
+    StartFleet(fleet, kNodes);
+    fleet.Run(seconds(60));
+    fleet.Crash(Name(9));
+    EXPECT_TRUE(
+      fleet.RunUntil(seconds(15), [&fleet] { return AllHold(fleet, Name(9), NodeState::kDead); }));
+    fleet.Run(seconds(70));
+    EXPECT_EQ(Disagreement(fleet), "");
+    EXPECT_EQ(fleet.CountOf(LogEvent::kMemberDied), kNodes - 1);
+  }
+}
+
+TEST(MembershipFleet, ALeavingNodeIsKnownAtOnceAndNotReportedDead)
+{
+  for (const std::uint64_t seed : Seeds()) {
+    SCOPED_TRACE("JACKDAW_SEED=" + std::to_string(seed));
+    Fleet fleet({ .seed = seed });
+    StartFleet(fleet, kNodes);
+    fleet.Run(seconds(60));
+    fleet.Act(Name(9), [](Membership& aMember, Time aNow, Effects& aEffects) {
+      aMember.Leave(aNow, aEffects);
+    });
+    EXPECT_TRUE(fleet.RunUntil(seconds(3),
+                               [&fleet] { return AllHold(fleet, Name(9), NodeState::kLeaving); }));
+    fleet.Run(seconds(10));
+    fleet.Crash(Name(9));
+    fleet.Run(seconds(90));
+    EXPECT_EQ(Disagreement(fleet), "");
+    EXPECT_EQ(fleet.CountOf(LogEvent::kMemberLeft), kNodes - 1);
+    EXPECT_EQ(fleet.CountOf(LogEvent::kMemberDied), 0);
+  }
+}
+
+TEST(MembershipFleet, ADrainingTargetIsKnownEverywhereWithinSeconds)
+{
+  for (const std::uint64_t seed : Seeds()) {
+    SCOPED_TRACE("JACKDAW_SEED=" + std::to_string(seed));
+    Fleet fleet({ .seed = seed, .loss = 0.02 });
+    StartFleet(fleet, kNodes);
+    fleet.Run(seconds(60));
+    fleet.Act(Name(9), [](Membership& aMember, Time aNow, Effects& aEffects) {
+      aMember.SetTarget("fleet", TargetState::kDraining, aNow, aEffects);
+    });
+    EXPECT_TRUE(fleet.RunUntil(seconds(5), [&fleet] {
+      for (const std::string& node : fleet.Nodes()) {
+        if (fleet.At(node).Members().at(Name(9)).GetTargetState() != TargetState::kDraining) {
+          return false;
+        }
+      }
+      return true;
+    }));
+  }
+}
+
+TEST(MembershipFleet, IslandsWithoutASeedJoinThroughAnAnnouncementInTheLog)
+{
+  Fleet fleet({ .seed = Seeds().front() });
+  const PeerAddress first = fleet.Add(NodeAt(0, {}));
+  fleet.Add(NodeAt(1, {}));
+  fleet.Run(seconds(10));
+  EXPECT_EQ(fleet.At(Name(1)).Members().size(), 1U);
+  fleet.Act(Name(1), [&first](Membership& aMember, Time aNow, Effects& aEffects) {
+    aMember.Learn(
+      NodeAnnounced(
+        { .address = first, .domain = kDomainNames[0], .region = "lagos", .incarnation = 1 }),
+      aNow,
+      aEffects);
+  });
+  fleet.Run(seconds(5));
+  EXPECT_EQ(Disagreement(fleet), "");
+}
+
+} // namespace
+} // namespace jackdawwind
