Push every change of state, send each change fewer times

Deaths at 16 nodes took 10 s to be known: only changes of the own record were pushed to other domains. Small domains probe others more.

--- a/packages/decisions/membership/membership.cc
+++ b/packages/decisions/membership/membership.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <set>
 #include <utility>
 
 namespace jackdawwind {
@@ -11,9 +12,9 @@
 /// Records per probe, acknowledgement or push; about 240 bytes of JSON each.
 constexpr std::size_t kMaxChanges = 6;
 
-/// A change is sent this many times the logarithm of the fleet's size by each node, so that few
-/// nodes miss it; the table hash finds those that do.
-constexpr std::uint32_t kSendFactor = 3;
+/// Each node sends a change this many times the binary logarithm of the fleet's size. At 470 nodes
+/// that is 9 times each, which few nodes miss; the table hash finds those that do.
+constexpr std::uint32_t kSendFactor = 1;
 
 /// Nodes asked for an indirect probe.
 constexpr std::size_t kIndirectProbes = 2;
@@ -47,18 +48,14 @@
 /// Sequence of a push, which nothing waits for.
 constexpr std::uint64_t kPushSequence = 0;
 
-/// Changes that must be known at once: who takes work, who leaves, and that a suspicion was wrong.
+/// Changes that must be known at once: who takes work, who leaves, dies or is suspected (so that it
+/// can refute in time), and that a suspicion was wrong. New nodes can wait for the probes.
 bool
 IsUrgent(const TableChange& aChange)
 {
-  if (!aChange.before) {
-    return false;
-  }
-  const Member& before = *aChange.before;
-  const Member& after = aChange.after;
-  const bool stateChanged = before.State() != after.State() && after.State() != NodeState::kSuspect;
-  return stateChanged || before.GetTargetState() != after.GetTargetState() ||
-         before.Incarnation() != after.Incarnation();
+  return aChange.before && (aChange.before->State() != aChange.after.State() ||
+                            aChange.before->GetTargetState() != aChange.after.GetTargetState() ||
+                            aChange.before->Incarnation() != aChange.after.Incarnation());
 }
 
 bool
@@ -202,7 +199,7 @@
   }
   fields.state = NodeState::kLeaving;
   this->PutSelf(fields, aNow);
-  this->PushChanges(aEffects);
+  this->PushChanges(aNow, aEffects);
 }
 
 void
@@ -228,11 +225,7 @@
     this->BeginPeriod(aNow, aEffects);
   }
   if (aNow >= this->pushDue) {
-    this->lastPush = aNow;
-    this->PushChanges(aEffects);
-    if (!this->urgent.empty()) {
-      this->pushDue = aNow + kPushInterval;
-    }
+    this->PushChanges(aNow, aEffects);
   }
 }
 
@@ -274,7 +267,7 @@
   ++aFields.version;
   this->table.Put(Member(std::move(aFields)));
   this->queue.Add(node);
-  this->SchedulePush(node, aNow);
+  this->SchedulePush(node, true, aNow);
 }
 
 void
@@ -287,7 +280,7 @@
     }
     const std::optional<TableChange> change = this->table.Merge(member);
     if (change) {
-      this->Follow(*change, aNow, aEffects);
+      this->Follow(*change, false, aNow, aEffects);
     }
   }
 }
@@ -308,12 +301,12 @@
 }
 
 void
-Membership::Follow(const TableChange& aChange, Time aNow, Effects& aEffects)
+Membership::Follow(const TableChange& aChange, bool aOwnFinding, Time aNow, Effects& aEffects)
 {
   const std::string& node = aChange.after.Address().Node();
   this->queue.Add(node);
   if (IsUrgent(aChange)) {
-    this->SchedulePush(node, aNow);
+    this->SchedulePush(node, aOwnFinding, aNow);
   }
   this->forgetAt.erase(node);
   switch (aChange.after.State()) {
@@ -534,6 +527,7 @@
       if (subject->State() == NodeState::kAlive) {
         this->membership.Follow(
           this->membership.table.Put(WithState(*subject, NodeState::kSuspect)),
+          true,
           this->now,
           this->effects);
       } else if (subject->State() == NodeState::kLeaving) {
@@ -550,7 +544,7 @@
   for (const std::string& node : this->detector.TakeExpired(aNow)) {
     const Member* member = this->table.Find(node);
     if (member != nullptr && member->State() != NodeState::kDead) {
-      this->Follow(this->table.Put(WithState(*member, NodeState::kDead)), aNow, aEffects);
+      this->Follow(this->table.Put(WithState(*member, NodeState::kDead)), true, aNow, aEffects);
     }
   }
   std::vector<std::string> forgotten;
@@ -567,36 +561,37 @@
 }
 
 void
-Membership::SchedulePush(const std::string& aNode, Time aNow)
+Membership::SchedulePush(const std::string& aNode, bool aOwnFinding, Time aNow)
 {
-  if (this->urgent.size() >= kMaxUrgent) {
+  if (this->urgent.size() >= kMaxUrgent && !this->urgent.contains(aNode)) {
     return;
   }
-  this->urgent.insert(aNode);
+  this->urgent[aNode] |= aOwnFinding;
   if (this->pushDue == Time::max()) {
     this->pushDue = std::max(aNow + kPushDelay, this->lastPush + kPushInterval);
   }
 }
 
 void
-Membership::PushChanges(Effects& aEffects)
+Membership::PushChanges(Time aNow, Effects& aEffects)
 {
-  this->pushDue = Time::max();
-  const std::string& self = this->options.self.Address().Node();
   std::vector<Member> changes;
+  std::vector<Member> ownFindings;
   while (changes.size() < kMaxChanges && !this->urgent.empty()) {
-    const std::string node = *this->urgent.begin();
-    this->urgent.erase(this->urgent.begin());
-    if (const Member* member = this->table.Find(node)) {
+    const std::map<std::string, bool>::const_iterator next = this->urgent.begin();
+    if (const Member* member = this->table.Find(next->first)) {
       changes.push_back(*member);
+      if (next->second) {
+        ownFindings.push_back(*member);
+      }
     }
+    this->urgent.erase(next);
   }
+  this->lastPush = aNow;
+  this->pushDue = this->urgent.empty() ? Time::max() : aNow + kPushInterval;
   const std::string& domain = this->options.self.GetDomain();
   this->PushTo(this->RandomPeers(domain, kPushOwnDomain), changes, aEffects);
-  const bool own = std::any_of(changes.begin(), changes.end(), [&self](const Member& aMember) {
-    return aMember.Address().Node() == self;
-  });
-  if (!own) {
+  if (ownFindings.empty()) {
     return;
   }
   std::set<std::string> otherDomains;
@@ -606,7 +601,7 @@
     }
   }
   for (const std::string& other : otherDomains) {
-    this->PushTo(this->RandomPeers(other, kPushOtherDomain), { this->Self() }, aEffects);
+    this->PushTo(this->RandomPeers(other, kPushOtherDomain), ownFindings, aEffects);
   }
 }
 
--- a/packages/decisions/membership/membership.h
+++ b/packages/decisions/membership/membership.h
@@ -13,7 +13,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -78,7 +77,8 @@
   void MergeAll(const std::vector<Member>& aMembers, Time aNow, Effects& aEffects);
   void MergeSelf(const Member& aClaim, Time aNow, Effects& aEffects);
   /// Starts and stops timers, queues the record and reports the change.
-  void Follow(const TableChange& aChange, Time aNow, Effects& aEffects);
+  /// aOwnFinding: this node made the change and tells the other domains too.
+  void Follow(const TableChange& aChange, bool aOwnFinding, Time aNow, Effects& aEffects);
   void Report(const TableChange& aChange, Effects& aEffects) const;
 
   /// Records for a message to aNode: what the receiver must answer to, then queued changes.
@@ -108,8 +108,8 @@
   void LookForOthers(Effects& aEffects, Time aNow);
   void CheckProbe(Time aNow, Effects& aEffects);
   void RemoveExpired(Time aNow, Effects& aEffects);
-  void SchedulePush(const std::string& aNode, Time aNow);
-  void PushChanges(Effects& aEffects);
+  void SchedulePush(const std::string& aNode, bool aOwnFinding, Time aNow);
+  void PushChanges(Time aNow, Effects& aEffects);
   /// Other live nodes in random order: of aDomain, or of all domains when it is empty.
   std::vector<PeerAddress> RandomPeers(const std::string& aDomain, std::size_t aCount);
   void PushTo(const std::vector<PeerAddress>& aPeers,
@@ -127,8 +127,9 @@
   std::uint64_t configOffset = 0;
   Time nextPeriod{};
   Time nextSync{};
-  /// Nodes with changes to push at once, and when; Time::max() for none.
-  std::set<std::string> urgent;
+  /// Nodes with changes to push at once, and whether this node made the change.
+  std::map<std::string, bool> urgent;
+  /// Time::max() for none.
   Time pushDue = Time::max();
   Time lastPush{};
   /// Dead nodes and when to forget them.
--- a/packages/decisions/membership/probe_ring.cc
+++ b/packages/decisions/membership/probe_ring.cc
@@ -1,14 +1,18 @@
 #include "decisions/membership/probe_ring.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace jackdawwind {
 
 namespace {
 
-/// One probe of this many goes to another domain. Traffic between regions is billed, and every
-/// member is probed by the peers of its own domain anyway.
-constexpr std::uint64_t kOtherDomainEvery = 4;
+/// Most probes stay in the own domain: traffic between regions is billed, and every member is
+/// probed by the peers of its own domain anyway.
+constexpr double kOwnShare = 0.75;
+
+/// In a domain with fewer others the share is less, or changes would hardly leave it.
+constexpr double kFullDomain = 8;
 
 } // namespace
 
@@ -29,11 +33,28 @@
 std::optional<std::string>
 ProbeRing::Next(const MemberTable& aTable, Random& aRandom)
 {
-  const bool otherFirst = ++this->turn % kOtherDomainEvery == 0;
-  std::vector<std::string>& first = otherFirst ? this->others : this->own;
-  std::vector<std::string>& second = otherFirst ? this->own : this->others;
-  const std::optional<std::string> node = this->NextOf(first, !otherFirst, aTable, aRandom);
-  return node ? node : this->NextOf(second, otherFirst, aTable, aRandom);
+  this->credit += this->OwnShare(aTable);
+  const bool ownFirst = this->credit >= 1;
+  this->credit -= ownFirst ? 1 : 0;
+  std::vector<std::string>& first = ownFirst ? this->own : this->others;
+  std::vector<std::string>& second = ownFirst ? this->others : this->own;
+  const std::optional<std::string> node = this->NextOf(first, ownFirst, aTable, aRandom);
+  return node ? node : this->NextOf(second, !ownFirst, aTable, aRandom);
+}
+
+double
+ProbeRing::OwnShare(const MemberTable& aTable) const
+{
+  double ownCount = 0;
+  double allCount = 0;
+  for (const auto& [node, member] : aTable.All()) {
+    if (node != this->self && member.State() != NodeState::kDead) {
+      allCount += 1;
+      ownCount += member.GetDomain() == this->domain ? 1 : 0;
+    }
+  }
+  const double wanted = kOwnShare * std::min(1.0, ownCount / kFullDomain);
+  return std::max(wanted, ownCount / std::max(allCount, 1.0));
 }
 
 std::optional<std::string>
--- a/packages/decisions/membership/probe_ring.h
+++ b/packages/decisions/membership/probe_ring.h
@@ -26,6 +26,8 @@
   std::optional<std::string> Next(const MemberTable& aTable, Random& aRandom);
 
 private:
+  /// Part of the probes that go to the own domain.
+  double OwnShare(const MemberTable& aTable) const;
   std::optional<std::string> NextOf(std::vector<std::string>& aRound,
                                     bool aOwnDomain,
                                     const MemberTable& aTable,
@@ -35,7 +37,8 @@
   std::string domain;
   std::vector<std::string> own;
   std::vector<std::string> others;
-  std::uint64_t turn = 0;
+  /// Grows by the share of own probes each time; an own probe takes one.
+  double credit = 0;
 };
 
 /// Puts aNodes into random order.
