--- /dev/null
+++ b/packages/platform/tests/log_client_test.cc
@@ -0,0 +1,122 @@
+// Guards against an append being called rejected when it may have taken effect, and against a read
+// that fails, hangs or grows without limit when the log service misbehaves.
+#include "platform/log_client.h"
+
+#include <optional>
+
+#include <gtest/gtest.h>
+
+#include "standins/log_service/log_service_thread.h"
+#include "wire/codec.h"
+#include "wire/generated/records_codec.h"
+
+namespace jackdawwind::platform {
+namespace {
+
+using standins::LogService;
+using standins::LogServiceThread;
+
+const Record kRecord =
+  ClaimRelease({ .organisation = "o", .key = "k", .owner = "n1-1", .number = 7 });
+
+LogServiceSettings
+SettingsFor(std::uint16_t aPort)
+{
+  return LogServiceSettings(
+    { .host = "127.0.0.1", .port = aPort, .timeoutMs = std::chrono::milliseconds(300) });
+}
+
+AppendOutcome
+AppendOne(std::uint16_t aPort)
+{
+  boost::asio::io_context context;
+  LogClient client(context, SettingsFor(aPort));
+  std::optional<AppendOutcome> outcome;
+  client.Append("s", { kRecord }, [&outcome](AppendOutcome aOutcome) { outcome = aOutcome; });
+  context.run();
+  return outcome.value();
+}
+
+LogReadResult
+ReadFrom(std::uint16_t aPort, const LogReadRequest& aRequest)
+{
+  boost::asio::io_context context;
+  LogClient client(context, SettingsFor(aPort));
+  std::optional<LogReadResult> result;
+  client.Read(aRequest, [&result](LogReadResult aResult) { result = std::move(aResult); });
+  context.run();
+  return result.value();
+}
+
+TEST(LogClient, TellsRejectedFromUnknownAppends)
+{
+  struct Case
+  {
+    LogFaultMode mode;
+    AppendOutcome outcome;
+    std::size_t recordsAfter;
+  };
+  const Case cases[] = {
+    { LogFaultMode::kNone, Appended({ .firstOffset = 0 }), 1 },
+    { LogFaultMode::kSlow, Appended({ .firstOffset = 0 }), 1 },
+    { LogFaultMode::kRefuse, AppendRejected(), 0 },
+    { LogFaultMode::kStall, AppendUnknown(), 0 },
+    { LogFaultMode::kLoseAppendAnswers, AppendUnknown(), 1 },
+  };
+  for (const Case& testCase : cases) {
+    SCOPED_TRACE(ToText(testCase.mode));
+    LogServiceThread service;
+    service.Call([&testCase](LogService& aService) {
+      aService.SetFaults(
+        LogFaults({ .mode = testCase.mode, .delayMs = std::chrono::milliseconds(5) }));
+    });
+    EXPECT_EQ(AppendOne(service.Port()), testCase.outcome);
+    EXPECT_EQ(service.Call([](LogService& aService) { return aService.Records("s").size(); }),
+              testCase.recordsAfter);
+  }
+}
+
+TEST(LogClient, ReadsWhatItCan)
+{
+  LogServiceThread service;
+  service.Call([](LogService& aService) {
+    Json::Value records(Json::arrayValue);
+    records.append(wire::Encode(kRecord));
+    records.append(wire::Encode(kRecord));
+    records[1]["number"] = "seven";
+    records.append(wire::Encode(kRecord));
+    aService.Append("s", records);
+    aService.Expire(LogExpiry({ .stream = "s", .expireBefore = 1 }));
+  });
+  struct Case
+  {
+    const char* name;
+    LogReadRequest request;
+    LogRead expected;
+  };
+  const LogRecord corrupt(
+    { .offset = 1,
+      .record = CorruptRecord(
+        { .reason = "number: expected a whole number, not negative, found a text" }) });
+  const LogRecord last({ .offset = 2, .record = kRecord });
+  const Case cases[] = {
+    { "expired and corrupt records",
+      { .stream = "s", .from = 0 },
+      LogRead(
+        { .stream = "s", .firstRetained = 1, .records = { corrupt, last }, .next = 3, .end = 3 }) },
+    { "a limit",
+      { .stream = "s", .from = 0, .limit = 1 },
+      LogRead({ .stream = "s", .firstRetained = 1, .records = { corrupt }, .next = 2, .end = 3 }) },
+    { "nothing new",
+      { .stream = "s", .from = 3, .wait = std::chrono::milliseconds(10) },
+      LogRead({ .stream = "s", .firstRetained = 1, .next = 3, .end = 3 }) },
+    { "unknown stream", { .stream = "t", .from = 4 }, LogRead({ .stream = "t", .next = 4 }) },
+  };
+  for (const Case& testCase : cases) {
+    SCOPED_TRACE(testCase.name);
+    EXPECT_EQ(ReadFrom(service.Port(), testCase.request), LogReadResult(testCase.expected));
+  }
+}
+
+} // namespace
+} // namespace jackdawwind::platform
