Read settings and configuration folders by yaml-cpp, test the log follower

Operators need errors that name file, line and field. The YAML document is turned into JSON with a map from paths to lines and then goes through the generated strict codecs, so that YAML adds no second set of rules. An empty document, an empty folder and a revoked hash that is not 64 hexadecimal digits are errors: each would otherwise remove items, or keep a key, without notice. A name that stands twice in one file is an error; between files the later one wins.

--- a/packages/platform/log_follower.cc
+++ b/packages/platform/log_follower.cc
@@ -250,9 +250,9 @@
   }
   Post(this->context, [this] {
     this->TakeCommands();
-    for (const auto& [stream, position] : this->followed) {
-      if (!position->reading && !position->pausing) {
-        this->StartRead(position, stream);
+    for (const std::pair<const std::string, std::shared_ptr<Followed>>& entry : this->followed) {
+      if (!entry.second->reading && !entry.second->pausing) {
+        this->StartRead(entry.second, entry.first);
       }
     }
   });
--- /dev/null
+++ b/packages/platform/tests/log_follower_test.cc
@@ -0,0 +1,192 @@
+// Guards against lost, repeated or reordered log events when the log service fails or the sink is
+// full.
+#include "platform/log_follower.h"
+
+#include <condition_variable>
+#include <mutex>
+#include <optional>
+
+#include <gtest/gtest.h>
+
+#include "standins/log_service/log_service_thread.h"
+#include "wire/codec.h"
+#include "wire/generated/records_codec.h"
+
+namespace jackdawwind::platform {
+namespace {
+
+using standins::LogService;
+using standins::LogServiceThread;
+
+/// Sink that keeps events and can refuse them.
+class FakeSink
+{
+public:
+  bool Take(Event aEvent)
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    if (this->refusals > 0) {
+      --this->refusals;
+      return false;
+    }
+    this->events.push_back(std::move(aEvent));
+    this->changed.notify_all();
+    return true;
+  }
+
+  void Refuse(int aCount)
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->refusals = aCount;
+  }
+
+  /// Next event of a type, others are dropped; waits for at most ten seconds.
+  template<typename T>
+  std::optional<T> Next()
+  {
+    std::unique_lock<std::mutex> lock(this->mutex);
+    for (;;) {
+      while (!this->events.empty()) {
+        const Event event = this->events.front();
+        this->events.pop_front();
+        if (const T* wanted = std::get_if<T>(&event)) {
+          return *wanted;
+        }
+      }
+      if (this->changed.wait_for(lock, std::chrono::seconds(10)) == std::cv_status::timeout) {
+        return std::nullopt;
+      }
+    }
+  }
+
+  /// Offsets of the records read next, until there are aCount.
+  std::vector<std::uint64_t> NextOffsets(std::size_t aCount)
+  {
+    std::vector<std::uint64_t> offsets;
+    while (offsets.size() < aCount) {
+      const std::optional<LogRead> read = this->Next<LogRead>();
+      if (!read) {
+        break;
+      }
+      for (const LogRecord& record : read->Records()) {
+        offsets.push_back(record.Offset());
+      }
+    }
+    return offsets;
+  }
+
+private:
+  std::mutex mutex;
+  std::condition_variable changed;
+  std::deque<Event> events;
+  int refusals = 0;
+};
+
+class LogFollowerTest : public testing::Test
+{
+protected:
+  LogFollowerTest()
+    : follower(LogServiceSettings({ .host = "127.0.0.1",
+                                    .port = this->service.Port(),
+                                    .timeoutMs = std::chrono::milliseconds(300) }),
+               [this](Event aEvent) { return this->sink.Take(std::move(aEvent)); })
+  {
+  }
+
+  AppendLog Append(std::uint64_t aTicket) const
+  {
+    return AppendLog({ .ticket = aTicket,
+                       .stream = "s",
+                       .records = { ClaimRelease(
+                         { .organisation = "o", .key = "k", .owner = "n", .number = aTicket }) } });
+  }
+
+  void SetFaults(LogFaultMode aMode, std::uint32_t aCount)
+  {
+    this->service.Call([aMode, aCount](LogService& aService) {
+      aService.SetFaults(LogFaults({ .mode = aMode, .count = aCount }));
+    });
+  }
+
+  LogServiceThread service;
+  FakeSink sink;
+  LogFollower follower;
+};
+
+TEST_F(LogFollowerTest, ReadsOnAfterFailures)
+{
+  this->SetFaults(LogFaultMode::kRefuse, 2);
+  EXPECT_TRUE(this->follower.Submit(FollowLog({ .stream = "s", .from = 0 })));
+  EXPECT_TRUE(this->sink.Next<LogReadFailed>());
+  EXPECT_TRUE(this->sink.Next<LogReadFailed>());
+  EXPECT_TRUE(this->sink.Next<LogRead>());
+  EXPECT_TRUE(this->follower.Submit(this->Append(1)));
+  EXPECT_EQ(this->sink.NextOffsets(1), std::vector<std::uint64_t>({ 0 }));
+}
+
+TEST_F(LogFollowerTest, KeepsTheOrderOfAppends)
+{
+  for (std::uint64_t ticket = 1; ticket <= 5; ++ticket) {
+    EXPECT_TRUE(this->follower.Submit(this->Append(ticket)));
+  }
+  for (std::uint64_t ticket = 1; ticket <= 5; ++ticket) {
+    EXPECT_EQ(this->sink.Next<LogAppended>(),
+              LogAppended({ .ticket = ticket,
+                            .outcome = jackdawwind::Appended({ .firstOffset = ticket - 1 }) }));
+  }
+}
+
+TEST_F(LogFollowerTest, ReportsALostAnswerOnceAndShowsTheRecord)
+{
+  this->SetFaults(LogFaultMode::kLoseAppendAnswers, 1);
+  EXPECT_TRUE(this->follower.Submit(this->Append(1)));
+  EXPECT_EQ(this->sink.Next<LogAppended>(),
+            LogAppended({ .ticket = 1, .outcome = AppendUnknown() }));
+  EXPECT_TRUE(this->follower.Submit(FollowLog({ .stream = "s", .from = 0 })));
+  EXPECT_EQ(this->sink.NextOffsets(1), std::vector<std::uint64_t>({ 0 }));
+  EXPECT_EQ(this->service.Call([](LogService& aService) { return aService.Records("s").size(); }),
+            1U);
+}
+
+TEST_F(LogFollowerTest, WaitsWhileTheSinkRefuses)
+{
+  this->sink.Refuse(5);
+  EXPECT_TRUE(this->follower.Submit(FollowLog({ .stream = "s", .from = 0 })));
+  for (std::uint64_t ticket = 1; ticket <= 3; ++ticket) {
+    EXPECT_TRUE(this->follower.Submit(this->Append(ticket)));
+  }
+  EXPECT_EQ(this->sink.NextOffsets(3), std::vector<std::uint64_t>({ 0, 1, 2 }));
+}
+
+TEST_F(LogFollowerTest, HalvesTheBatchWhenAnAnswerIsTooLarge)
+{
+  constexpr std::size_t kRecordBytes = 1024 * 1024;
+  constexpr std::size_t kRecords = 12;
+  static_assert(kRecordBytes * kRecords > kMaxReadBytes);
+  this->service.Call([](LogService& aService) {
+    Json::Value records(Json::arrayValue);
+    for (std::size_t index = 0; index < kRecords; ++index) {
+      records.append(
+        wire::Encode<Record>(CorruptRecord({ .reason = std::string(kRecordBytes, 'x') })));
+    }
+    aService.Append("s", records);
+  });
+  EXPECT_TRUE(this->follower.Submit(FollowLog({ .stream = "s", .from = 0 })));
+  EXPECT_EQ(this->sink.NextOffsets(kRecords).size(), kRecords);
+}
+
+TEST_F(LogFollowerTest, FollowsFromANewPosition)
+{
+  for (std::uint64_t ticket = 1; ticket <= 3; ++ticket) {
+    EXPECT_TRUE(this->follower.Submit(this->Append(ticket)));
+    EXPECT_TRUE(this->sink.Next<LogAppended>());
+  }
+  EXPECT_TRUE(this->follower.Submit(FollowLog({ .stream = "s", .from = 0 })));
+  EXPECT_EQ(this->sink.NextOffsets(3), std::vector<std::uint64_t>({ 0, 1, 2 }));
+  EXPECT_TRUE(this->follower.Submit(FollowLog({ .stream = "s", .from = 2 })));
+  EXPECT_EQ(this->sink.NextOffsets(1), std::vector<std::uint64_t>({ 2 }));
+  EXPECT_TRUE(this->follower.Submit(StopFollowing({ .stream = "s" })));
+}
+
+} // namespace
+} // namespace jackdawwind::platform
--- a/packages/standins/log_service/log_service.cc
+++ b/packages/standins/log_service/log_service.cc
@@ -278,7 +278,8 @@
 LogService::DropExpired()
 {
   const Time oldest = Clock::now() - this->options.retention;
-  for (auto& [name, stream] : this->streams) {
+  for (std::pair<const std::string, Stream>& entry : this->streams) {
+    Stream& stream = entry.second;
     while (!stream.entries.empty() && stream.entries.front().appended < oldest) {
       stream.entries.pop_front();
       ++stream.firstRetained;
--- /dev/null
+++ b/packages/wire/yaml.cc
@@ -0,0 +1,478 @@
+#include "wire/yaml.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <cstdint>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <map>
+#include <optional>
+#include <regex>
+#include <set>
+#include <system_error>
+#include <utility>
+
+#include <json/value.h>
+#include <yaml-cpp/yaml.h>
+
+#include "decisions/config/control_state.h"
+#include "wire/codec.h"
+#include "wire/generated/configuration_codec.h"
+#include "wire/generated/settings_codec.h"
+
+namespace jackdawwind::wire {
+
+namespace {
+
+namespace fs = std::filesystem;
+
+constexpr std::uintmax_t kMaxFileBytes = 4ULL * 1024 * 1024;
+// Aliases can make a small file stand for a huge document.
+constexpr std::size_t kMaxNodes = 1000000;
+constexpr std::size_t kKeyHashDigits = 64;
+
+const char* const kTextTag = "tag:yaml.org,2002:str";
+
+struct ParsedNumber
+{
+  /// Null when the text is not a number.
+  Json::Value value;
+  /// What is wrong with a number that cannot be represented; empty for none.
+  std::string problem;
+};
+
+ParsedNumber
+ParseInteger(const std::string& aDigits, bool aNegative, int aBase)
+{
+  std::uint64_t magnitude = 0;
+  const std::from_chars_result result =
+    std::from_chars(aDigits.data(), aDigits.data() + aDigits.size(), magnitude, aBase);
+  constexpr std::uint64_t kMostNegative = 1ULL << 63U;
+  if (result.ec != std::errc() || (aNegative && magnitude > kMostNegative)) {
+    return { {}, "a number that fits 64 bits" };
+  }
+  if (!aNegative) {
+    return { Json::Value(static_cast<Json::UInt64>(magnitude)), "" };
+  }
+  return { Json::Value(static_cast<Json::Int64>(~magnitude + 1)), "" };
+}
+
+/// Number by the rules of the YAML core schema.
+ParsedNumber
+ParseNumber(const std::string& aText)
+{
+  static const std::regex decimal("([-+]?)([0-9]+)");
+  static const std::regex octal("0o([0-7]+)");
+  static const std::regex hexadecimal("0x([0-9a-fA-F]+)");
+  static const std::regex real("[-+]?(\\.[0-9]+|[0-9]+(\\.[0-9]*)?)([eE][-+]?[0-9]+)?");
+  static const std::regex notFinite("[-+]?\\.(inf|Inf|INF)|\\.(nan|NaN|NAN)");
+  constexpr int kOctal = 8;
+  constexpr int kDecimal = 10;
+  constexpr int kHexadecimal = 16;
+  // Longer than every number; bounds the depth to which the regular expressions recurse.
+  constexpr std::size_t kLongest = 400;
+  std::smatch match;
+  if (aText.size() > kLongest) {
+    return {};
+  }
+  if (std::regex_match(aText, match, decimal)) {
+    return ParseInteger(match[2], match[1] == "-", kDecimal);
+  }
+  if (std::regex_match(aText, match, octal)) {
+    return ParseInteger(match[1], false, kOctal);
+  }
+  if (std::regex_match(aText, match, hexadecimal)) {
+    return ParseInteger(match[1], false, kHexadecimal);
+  }
+  if (std::regex_match(aText, real)) {
+    double number = 0;
+    const std::size_t start = aText.front() == '+' ? 1 : 0;
+    const std::from_chars_result result =
+      std::from_chars(aText.data() + start, aText.data() + aText.size(), number);
+    if (result.ec == std::errc() && std::isfinite(number)) {
+      return { Json::Value(number), "" };
+    }
+    return { {}, "a finite number" };
+  }
+  if (std::regex_match(aText, notFinite)) {
+    return { {}, "a finite number" };
+  }
+  return {};
+}
+
+/// Turns a YAML document into JSON and remembers the line of every path.
+class Converter
+{
+public:
+  explicit Converter(std::string aFile)
+    : file(std::move(aFile))
+  {
+  }
+
+  Json::Value Convert(const YAML::Node& aNode, const std::string& aPath)
+  {
+    this->lines[aPath] = LineOf(aNode);
+    if (++this->nodes > kMaxNodes) {
+      this->Fail(aNode, aPath, "fewer nodes", "more than " + std::to_string(kMaxNodes));
+      return {};
+    }
+    switch (aNode.Type()) {
+      case YAML::NodeType::Sequence:
+        return this->ConvertList(aNode, aPath);
+      case YAML::NodeType::Map:
+        return this->ConvertMap(aNode, aPath);
+      case YAML::NodeType::Scalar:
+        return this->ConvertScalar(aNode, aPath);
+      default:
+        return {};
+    }
+  }
+
+  const std::optional<YamlError>& Error() const { return this->error; }
+
+  /// Error of the schema at the line of its field, or of the nearest enclosing value.
+  YamlError Locate(const DecodeError& aError) const
+  {
+    return YamlError({ .file = this->file,
+                       .line = this->LineOfPath(aError.path),
+                       .field = aError.path,
+                       .expected = aError.expected,
+                       .found = aError.found });
+  }
+
+  std::uint32_t LineOfPath(const std::string& aPath) const
+  {
+    std::string path = aPath;
+    while (!this->lines.contains(path)) {
+      const std::size_t cut = path.find_last_of(".[");
+      path = cut == std::string::npos ? "" : path.substr(0, cut);
+    }
+    return this->lines.at(path);
+  }
+
+private:
+  static std::uint32_t LineOf(const YAML::Node& aNode)
+  {
+    return aNode.Mark().is_null() ? 0 : static_cast<std::uint32_t>(aNode.Mark().line) + 1;
+  }
+
+  void Fail(const YAML::Node& aNode,
+            const std::string& aPath,
+            const std::string& aExpected,
+            const std::string& aFound)
+  {
+    if (!this->error) {
+      this->error = YamlError({ .file = this->file,
+                                .line = LineOf(aNode),
+                                .field = aPath,
+                                .expected = aExpected,
+                                .found = aFound });
+    }
+  }
+
+  Json::Value ConvertList(const YAML::Node& aNode, const std::string& aPath)
+  {
+    Json::Value out(Json::arrayValue);
+    std::size_t index = 0;
+    for (const YAML::Node& element : aNode) {
+      if (this->error) {
+        break;
+      }
+      out.append(this->Convert(element, aPath + "[" + std::to_string(index) + "]"));
+      ++index;
+    }
+    return out;
+  }
+
+  Json::Value ConvertMap(const YAML::Node& aNode, const std::string& aPath)
+  {
+    Json::Value out(Json::objectValue);
+    for (YAML::const_iterator entry = aNode.begin(); entry != aNode.end() && !this->error;
+         ++entry) {
+      if (!entry->first.IsScalar()) {
+        this->Fail(entry->first, aPath, "field names", "a key that is not a scalar");
+        break;
+      }
+      const std::string key = entry->first.Scalar();
+      const std::string path = aPath.empty() ? key : aPath + "." + key;
+      if (out.isMember(key)) {
+        this->Fail(entry->first, path, "each field once", "a second one");
+        break;
+      }
+      out[key] = this->Convert(entry->second, path);
+      // The line of the key is where an editor would look.
+      this->lines[path] = LineOf(entry->first);
+    }
+    return out;
+  }
+
+  Json::Value ConvertScalar(const YAML::Node& aNode, const std::string& aPath)
+  {
+    const std::string& text = aNode.Scalar();
+    const std::string& tag = aNode.Tag();
+    if (tag == "!" || tag == kTextTag) {
+      return text;
+    }
+    if (tag != "?" && !tag.empty()) {
+      this->Fail(aNode, aPath, "no tag but !!str", "another tag");
+      return {};
+    }
+    static const std::set<std::string> nulls{ "", "~", "null", "Null", "NULL" };
+    static const std::set<std::string> trues{ "true", "True", "TRUE" };
+    static const std::set<std::string> falses{ "false", "False", "FALSE" };
+    if (nulls.contains(text)) {
+      return {};
+    }
+    if (trues.contains(text) || falses.contains(text)) {
+      return trues.contains(text);
+    }
+    const ParsedNumber number = ParseNumber(text);
+    if (!number.problem.empty()) {
+      this->Fail(aNode, aPath, number.problem, "another number");
+    }
+    return number.value.isNull() ? Json::Value(text) : number.value;
+  }
+
+  const std::string file;
+  std::map<std::string, std::uint32_t> lines;
+  std::size_t nodes = 0;
+  std::optional<YamlError> error;
+};
+
+/// A value with the lines of its file.
+template<typename T>
+struct Located
+{
+  T value;
+  Converter lines;
+};
+
+template<typename T>
+using LocatedResult = std::variant<Located<T>, YamlError>;
+
+YamlError
+FileError(const std::string& aFile, const std::string& aExpected, const std::string& aFound)
+{
+  return YamlError({ .file = aFile, .expected = aExpected, .found = aFound });
+}
+
+template<typename T>
+LocatedResult<T>
+ParseLocated(const std::string& aText, const std::string& aFile)
+{
+  std::vector<YAML::Node> documents;
+  Converter converter(aFile);
+  Json::Value json;
+  try {
+    documents = YAML::LoadAll(aText);
+    if (documents.size() != 1) {
+      return FileError(aFile, "one YAML document", std::to_string(documents.size()) + " documents");
+    }
+    json = converter.Convert(documents.front(), "");
+  } catch (const YAML::Exception& exception) {
+    return YamlError(
+      { .file = aFile,
+        .line = exception.mark.is_null() ? 0 : static_cast<std::uint32_t>(exception.mark.line) + 1,
+        .expected = "a YAML document",
+        .found = exception.msg });
+  }
+  if (converter.Error()) {
+    return *converter.Error();
+  }
+  Decoded<T> decoded = Decode<T>(json);
+  if (const DecodeError* error = std::get_if<DecodeError>(&decoded)) {
+    return converter.Locate(*error);
+  }
+  return Located<T>{ std::get<T>(std::move(decoded)), std::move(converter) };
+}
+
+template<typename T>
+YamlResult<T>
+WithoutLines(LocatedResult<T> aResult)
+{
+  if (const YamlError* error = std::get_if<YamlError>(&aResult)) {
+    return *error;
+  }
+  return std::get<Located<T>>(std::move(aResult)).value;
+}
+
+YamlResult<std::string>
+ReadFile(const std::string& aPath)
+{
+  std::error_code error;
+  const std::uintmax_t size = fs::file_size(aPath, error);
+  if (error) {
+    return FileError(aPath, "a readable file", error.message());
+  }
+  if (size > kMaxFileBytes) {
+    return FileError(aPath,
+                     "at most " + std::to_string(kMaxFileBytes) + " bytes",
+                     std::to_string(size) + " bytes");
+  }
+  std::ifstream file(aPath, std::ios::binary);
+  std::string text{ std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>() };
+  if (!file.good() && !file.eof()) {
+    return FileError(aPath, "a readable file", "an error while reading");
+  }
+  return text;
+}
+
+/// Items of a folder while its files are merged.
+class FolderMerge
+{
+public:
+  /// Adds a file; returns what is wrong with it.
+  std::optional<YamlError> Add(const Located<ConfigurationFile>& aFile)
+  {
+    const ConfigurationFile& file = aFile.value;
+    std::set<std::string> seen;
+    std::optional<YamlError> error =
+      this->AddList(file.Organisations(), "organisations", aFile, seen);
+    error = error ? error : this->AddList(file.Services(), "services", aFile, seen);
+    error = error ? error : this->AddList(file.Domains(), "domains", aFile, seen);
+    error = error ? error : this->AddList(file.Keys(), "keys", aFile, seen);
+    error = error ? error : this->Revoke(aFile);
+    if (file.GetPolicy()) {
+      this->Put(*file.GetPolicy());
+    }
+    return error;
+  }
+
+  std::vector<ConfigItem> Items() const
+  {
+    std::vector<ConfigItem> out;
+    for (const std::pair<const std::string, ItemBody>& entry : this->items) {
+      out.push_back(ConfigItem({ .path = entry.first, .body = entry.second }));
+    }
+    return out;
+  }
+
+private:
+  template<typename T>
+  std::optional<YamlError> AddList(const std::vector<T>& aList,
+                                   const std::string& aField,
+                                   const Located<ConfigurationFile>& aFile,
+                                   std::set<std::string>& aSeen)
+  {
+    for (std::size_t index = 0; index < aList.size(); ++index) {
+      if (!aSeen.insert(PathOf(aList[index])).second) {
+        return aFile.lines.Locate({ aField + "[" + std::to_string(index) + "]",
+                                    "each name once in a file",
+                                    "a second " + PathOf(aList[index]) });
+      }
+      this->Put(aList[index]);
+    }
+    return std::nullopt;
+  }
+
+  /// A revocation with a typing error would leave the key in force without notice.
+  std::optional<YamlError> Revoke(const Located<ConfigurationFile>& aFile)
+  {
+    const std::vector<std::string>& revoked = aFile.value.RevokedKeys();
+    for (std::size_t index = 0; index < revoked.size(); ++index) {
+      const std::string& hash = revoked[index];
+      if (hash.size() != kKeyHashDigits ||
+          hash.find_first_not_of("0123456789abcdef") != std::string::npos) {
+        return aFile.lines.Locate({ "revoked_keys[" + std::to_string(index) + "]",
+                                    "a key's hash of 64 lower-case hexadecimal digits",
+                                    "another text" });
+      }
+      this->items.erase(PathOf(KeyRecord({ .hash = hash })));
+    }
+    return std::nullopt;
+  }
+
+  void Put(const ItemBody& aBody) { this->items.insert_or_assign(PathOf(aBody), aBody); }
+
+  std::map<std::string, ItemBody> items;
+};
+
+YamlResult<std::vector<std::string>>
+ListFiles(const std::string& aFolder)
+{
+  std::vector<std::string> files;
+  std::error_code error;
+  for (fs::directory_iterator entry(aFolder, error), end; !error && entry != end;
+       entry.increment(error)) {
+    const fs::path& path = entry->path();
+    const bool hidden = path.filename().string().starts_with('.');
+    if (!hidden && (path.extension() == ".yaml" || path.extension() == ".yml")) {
+      files.push_back(path.string());
+    }
+  }
+  if (error) {
+    return FileError(aFolder, "a readable folder", error.message());
+  }
+  if (files.empty()) {
+    return FileError(aFolder, "at least one file *.yaml or *.yml", "none");
+  }
+  std::sort(files.begin(), files.end());
+  return files;
+}
+
+} // namespace
+
+std::string
+Describe(const YamlError& aError)
+{
+  std::string out = aError.File();
+  if (aError.Line() > 0) {
+    out += ":" + std::to_string(aError.Line());
+  }
+  if (!aError.Field().empty()) {
+    out += ": " + aError.Field();
+  }
+  return out + ": expected " + aError.Expected() + ", found " + aError.Found();
+}
+
+YamlResult<NodeSettings>
+ParseNodeSettings(const std::string& aText, const std::string& aFile)
+{
+  return WithoutLines(ParseLocated<NodeSettings>(aText, aFile));
+}
+
+YamlResult<ConfigurationFile>
+ParseConfigurationFile(const std::string& aText, const std::string& aFile)
+{
+  return WithoutLines(ParseLocated<ConfigurationFile>(aText, aFile));
+}
+
+YamlResult<NodeSettings>
+LoadNodeSettings(const std::string& aPath)
+{
+  const YamlResult<std::string> text = ReadFile(aPath);
+  if (const YamlError* error = std::get_if<YamlError>(&text)) {
+    return *error;
+  }
+  return ParseNodeSettings(std::get<std::string>(text), aPath);
+}
+
+YamlResult<std::vector<ConfigItem>>
+LoadConfigurationFolder(const std::string& aPath)
+{
+  const YamlResult<std::vector<std::string>> files = ListFiles(aPath);
+  if (const YamlError* error = std::get_if<YamlError>(&files)) {
+    return *error;
+  }
+  FolderMerge merge;
+  for (const std::string& file : std::get<std::vector<std::string>>(files)) {
+    const YamlResult<std::string> text = ReadFile(file);
+    if (const YamlError* error = std::get_if<YamlError>(&text)) {
+      return *error;
+    }
+    const LocatedResult<ConfigurationFile> parsed =
+      ParseLocated<ConfigurationFile>(std::get<std::string>(text), file);
+    if (const YamlError* error = std::get_if<YamlError>(&parsed)) {
+      return *error;
+    }
+    if (const std::optional<YamlError> error =
+          merge.Add(std::get<Located<ConfigurationFile>>(parsed))) {
+      return *error;
+    }
+  }
+  return merge.Items();
+}
+
+} // namespace jackdawwind::wire
