--- a/packages/decisions/overload/concurrency_limit.cc
+++ b/packages/decisions/overload/concurrency_limit.cc
@@ -13,6 +13,7 @@
 /// a window has 50 samples; twice that leaves room for ordinary variation.
 constexpr double kTolerance = 2.0;
 constexpr std::uint32_t kWindowSamples = 50;
+constexpr std::uint32_t kWindowRounds = 3;
 /// A target with few calls closes its window early.
 constexpr Duration kWindowTime = std::chrono::seconds(1);
 constexpr std::uint32_t kMinWindowSamples = 10;
@@ -49,12 +50,23 @@
 {
   this->slots = std::max(aSlots, 1U);
   this->limit = std::min(this->limit, static_cast<double>(this->slots));
+  if (this->cold) {
+    // The target may announce itself before the configuration with its slots has been read.
+    this->limit = std::max(this->limit, this->ColdLimit());
+  }
+}
+
+double
+ConcurrencyLimit::ColdLimit() const
+{
+  return std::max(1.0, this->slots * kColdPart);
 }
 
 void
 ConcurrencyLimit::ColdStart(Time aNow)
 {
-  this->limit = std::max(1.0, this->slots * kColdPart);
+  this->limit = this->ColdLimit();
+  this->cold = true;
   this->minimum = Duration::zero();
   this->decreased = aNow;
   this->slowLimit = 0;
@@ -72,7 +84,10 @@
   this->Count(aSample.ended);
   this->sum += aSample.ended - aSample.started;
   if (aSample.limited && this->checkedLimit == 0) {
-    this->limit = std::min(this->limit + 1 / this->limit, static_cast<double>(this->slots));
+    // A cold target's limit doubles per service time until the first sign of overload: adding one
+    // per service time would take a minute to open 60 slots of calls that last a second.
+    const double step = this->cold ? 1 : 1 / this->limit;
+    this->limit = std::min(this->limit + step, static_cast<double>(this->slots));
   }
   if (this->WindowIsFull(aSample.ended)) {
     this->CloseWindow(aSample.ended);
@@ -114,8 +129,11 @@
 bool
 ConcurrencyLimit::WindowIsFull(Time aNow) const
 {
+  // The first calls to end of those that run side by side are the short ones; a window of several
+  // rounds keeps them from passing for the target's ordinary latency.
+  const std::uint32_t enough = std::max(kWindowSamples, kWindowRounds * this->Value());
   const bool late = aNow - this->windowStarted >= kWindowTime;
-  return this->samples >= kWindowSamples || (late && this->samples >= kMinWindowSamples);
+  return this->samples >= enough || (late && this->samples >= kMinWindowSamples);
 }
 
 void
@@ -172,6 +190,7 @@
 void
 ConcurrencyLimit::Decrease(double aFactor, Time aNow)
 {
+  this->cold = false;
   this->limit = std::max(1.0, this->limit * aFactor);
   this->decreased = aNow;
   this->StartWindow();
--- a/packages/decisions/overload/concurrency_limit.h
+++ b/packages/decisions/overload/concurrency_limit.h
@@ -53,6 +53,7 @@
   Duration Minimum() const { return this->minimum; }
 
 private:
+  double ColdLimit() const;
   void Count(Time aEnded);
   bool WindowIsFull(Time aNow) const;
   void CloseWindow(Time aNow);
@@ -64,6 +65,8 @@
 
   std::uint32_t slots = 1;
   double limit = 1;
+  /// From a cold start until the first sign of overload.
+  bool cold = true;
   Duration minimum{};
   Time decreased = Time::min();
 
--- a/packages/decisions/rate/rate_limiter.cc
+++ b/packages/decisions/rate/rate_limiter.cc
@@ -245,6 +245,9 @@
     next = std::min(next, std::max(this->borrowing.NextAsk(), this->lastNow + kShortestWake));
     return std::min(next, this->nextToken);
   }
+  if (!this->waiting.Counts().empty() && this->finder.Steward(this->lastNow) == nullptr) {
+    next = std::min(next, std::max(this->borrowing.NextAsk(), this->lastNow + kShortestWake));
+  }
   for (const std::pair<const std::string, std::uint32_t>& count : this->waiting.Counts()) {
     next = std::min(next, std::max(this->purse.NextAsk(count.first), this->nextReport));
   }
@@ -325,8 +328,10 @@
   if (this->purse.Take(aOrganisation, aNow)) {
     return true;
   }
-  return this->Elected() &&
-         (this->book.Spend(aOrganisation, aNow) || this->borrowing.TakeOne(aOrganisation, aNow));
+  if (this->Elected() && this->book.Spend(aOrganisation, aNow)) {
+    return true;
+  }
+  return this->borrowing.TakeOne(aOrganisation, aNow);
 }
 
 void
@@ -355,6 +360,9 @@
     this->SendBorrowRequests(aNow, aEffects);
     return;
   }
+  if (this->finder.Steward(aNow) == nullptr) {
+    this->BorrowWithoutSteward(counts, aNow, aEffects);
+  }
   if (aNow < this->nextReport) {
     return;
   }
@@ -366,6 +374,19 @@
   }
 }
 
+void
+RateLimiter::BorrowWithoutSteward(const std::map<std::string, std::uint32_t>& aCounts,
+                                  Time aNow,
+                                  Effects& aEffects)
+{
+  // The lenders' own conservation holds whoever borrows, so a domain between two stewards, or with
+  // too few hosts to elect one, goes on with the tokens of the domains that it reaches.
+  for (const std::pair<const std::string, std::uint32_t>& count : aCounts) {
+    this->NeedTokens(count.first, count.second, aNow);
+  }
+  this->SendBorrowRequests(aNow, aEffects);
+}
+
 void
 RateLimiter::SendBorrowRequests(Time aNow, Effects& aEffects)
 {
--- a/packages/decisions/rate/rate_limiter.h
+++ b/packages/decisions/rate/rate_limiter.h
@@ -125,6 +125,9 @@
   /// Last step of every event: sends the reports that are due.
   void SendDue(Time aNow, Effects& aEffects);
   void NeedTokens(const std::string& aOrganisation, std::uint32_t aTokens, Time aNow);
+  void BorrowWithoutSteward(const std::map<std::string, std::uint32_t>& aCounts,
+                            Time aNow,
+                            Effects& aEffects);
   void SendBorrowRequests(Time aNow, Effects& aEffects);
   void Heartbeat(Time aNow, Effects& aEffects);
   void VoteForSelf(Time aNow, Effects& aEffects);
