Double a cold limit per window instead of per answer

Cause: the doubling per answer passed the true capacity before the first latency window closed, so a target with 10 of 60 slots settled at 60 (FollowsWhatTheTargetBears, fewer slots than configured). Change: the first window measures at the cold limit, each good window doubles. After: the limit test passes unchanged.

--- a/packages/decisions/overload/concurrency_limit.cc
+++ b/packages/decisions/overload/concurrency_limit.cc
@@ -68,7 +68,7 @@
   this->limit = this->ColdLimit();
   this->cold = true;
   this->minimum = Duration::zero();
-  this->decreased = aNow;
+  this->counted = aNow;
   this->slowLimit = 0;
   this->nextCheck = Time::max();
   this->checkedLimit = 0;
@@ -78,16 +78,14 @@
 void
 ConcurrencyLimit::NoteAnswered(const LimitSample& aSample)
 {
-  if (aSample.started < this->decreased) {
+  if (aSample.started < this->counted) {
     return;
   }
   this->Count(aSample.ended);
   this->sum += aSample.ended - aSample.started;
-  if (aSample.limited && this->checkedLimit == 0) {
-    // A cold target's limit doubles per service time until the first sign of overload: adding one
-    // per service time would take a minute to open 60 slots of calls that last a second.
-    const double step = this->cold ? 1 : 1 / this->limit;
-    this->limit = std::min(this->limit + step, static_cast<double>(this->slots));
+  this->limited = this->limited || aSample.limited;
+  if (aSample.limited && this->checkedLimit == 0 && !this->cold) {
+    this->limit = std::min(this->limit + 1 / this->limit, static_cast<double>(this->slots));
   }
   if (this->WindowIsFull(aSample.ended)) {
     this->CloseWindow(aSample.ended);
@@ -97,7 +95,7 @@
 void
 ConcurrencyLimit::NoteRefused(const LimitSample& aSample)
 {
-  if (aSample.started < this->decreased) {
+  if (aSample.started < this->counted) {
     return;
   }
   this->Count(aSample.ended);
@@ -140,6 +138,7 @@
 ConcurrencyLimit::CloseWindow(Time aNow)
 {
   const Duration mean = this->sum / (this->samples - this->refusals);
+  const bool wasLimited = this->limited;
   this->StartWindow();
   if (this->checkedLimit > 0) {
     this->EndCheck(mean);
@@ -153,6 +152,13 @@
     return;
   }
   this->slowLimit = 0;
+  if (this->cold && wasLimited) {
+    // Doubling per window opens 60 slots of calls that last a second within seconds; adding one per
+    // service time would take a minute. The first window measures the latency at the low limit.
+    this->limit = std::min(this->limit * 2, static_cast<double>(this->slots));
+    this->counted = aNow;
+    return;
+  }
   if (aNow >= this->nextCheck) {
     this->nextCheck = aNow + kCheckInterval;
     this->checkedLimit = this->limit;
@@ -192,7 +198,7 @@
 {
   this->cold = false;
   this->limit = std::max(1.0, this->limit * aFactor);
-  this->decreased = aNow;
+  this->counted = aNow;
   this->StartWindow();
 }
 
@@ -202,6 +208,7 @@
   this->samples = 0;
   this->refusals = 0;
   this->sum = Duration::zero();
+  this->limited = false;
 }
 
 } // namespace jackdawwind
--- a/packages/decisions/overload/concurrency_limit.h
+++ b/packages/decisions/overload/concurrency_limit.h
@@ -68,12 +68,14 @@
   /// From a cold start until the first sign of overload.
   bool cold = true;
   Duration minimum{};
-  Time decreased = Time::min();
+  /// Only calls that started since the last change of the limit count.
+  Time counted = Time::min();
 
   // The present window.
   std::uint32_t samples = 0;
   std::uint32_t refusals = 0;
   Duration sum{};
+  bool limited = false;
   Time windowStarted{};
 
   // A run of decreases for latency: limit and mean latency at its begin; zero when none is under
