--- a/packages/decisions/tests/overload_controller_test.cc
+++ b/packages/decisions/tests/overload_controller_test.cc
@@ -205,6 +205,53 @@
   }
 }
 
+TEST(AdmissionController, LowersTheLimitWhenTheTargetRefuses)
+{
+  struct Case
+  {
+    TargetOutcome outcome;
+    bool lowers;
+  };
+  const Case cases[] = {
+    { Answer(200), false },    { Answer(500), false }, { Lost(), false },
+    { Answer(503), true },     { Answer(429), true },  { TimedOut(), true },
+    { ConnectFailed(), true },
+  };
+  for (const Case& testCase : cases) {
+    AdmissionController controller;
+    controller.Configure(Policy(), 100, {});
+    controller.SetTargetState(TargetState::kStarting, Time{});
+    controller.SetTargetState(TargetState::kReady, Time{});
+    const std::uint32_t before = controller.Status().Limit();
+    for (std::uint64_t exchange = 0; exchange < 3; ++exchange) {
+      controller.Offer(Call(exchange, Importance::kNormal, Time{}), Time{});
+      controller.Finished(exchange, testCase.outcome, Time{} + milliseconds(1));
+    }
+    EXPECT_EQ(controller.Status().Limit() < before, testCase.lowers);
+  }
+}
+
+TEST(AdmissionController, RefusesAtOnceBelowTheLevel)
+{
+  AdmissionController controller = MakeController(PolicyKind::kGoodput);
+  Time now{};
+  std::uint64_t exchange = 1;
+  controller.Offer(Call(exchange, Importance::kNormal, now), now);
+  for (; controller.Status().Queued() < kQueue - 1; now += milliseconds(20)) {
+    controller.Offer(Call(++exchange, Importance::kCritical, now), now);
+  }
+  EXPECT_GT(controller.Level(), 0U);
+  const AdmissionVerdicts expected = { RejectCall{ .exchange = 100 } };
+  EXPECT_EQ(controller.Offer(Call(100, Importance::kBulk, now), now), expected);
+  while (controller.Load() > 0) {
+    controller.Finished(exchange--, Answer(200), now);
+  }
+  for (; controller.NextWake() != Time::max(); now = controller.NextWake()) {
+    controller.Poll(now);
+  }
+  EXPECT_EQ(controller.Level(), 0U);
+}
+
 /// Started calls by organisation and class under four times the target's capacity.
 std::map<std::pair<std::string, Importance>, int>
 StartsUnderOverload(PolicyKind aKind, const std::array<Importance, 2>& aClasses)
