--- a/packages/decisions/tests/overload_controller_test.cc
+++ b/packages/decisions/tests/overload_controller_test.cc
@@ -243,10 +243,14 @@
   EXPECT_GT(controller.Level(), 0U);
   const AdmissionVerdicts expected = { RejectCall{ .exchange = 100 } };
   EXPECT_EQ(controller.Offer(Call(100, Importance::kBulk, now), now), expected);
-  while (controller.Load() > 0) {
-    controller.Finished(exchange--, Answer(200), now);
+  for (std::uint64_t round = 0; round < kQueue; ++round) {
+    for (std::uint64_t ended = 1; ended <= exchange; ++ended) {
+      controller.Finished(ended, Answer(200), now);
+    }
   }
-  for (; controller.NextWake() != Time::max(); now = controller.NextWake()) {
+  ASSERT_EQ(controller.Load(), 0U);
+  for (int step = 0; step < 100 && controller.NextWake() != Time::max(); ++step) {
+    now = controller.NextWake();
     controller.Poll(now);
   }
   EXPECT_EQ(controller.Level(), 0U);
