Add the I/O thread and the decision loop of the node

Cause: the decisions need a front end that carries calls between callers, nodes and targets. Choice: ends of exchanges are kept and offered again when the event ring is full, arrivals are refused node_busy; the writer of effects waits and the I/O thread never does, so the two cannot block each other. Ruled out: a blocking push of ends, which can deadlock with a full effect ring; answers that end with the connection, which cannot be told from truncated ones. Not yet run: no test covers this commit; it compiles.

--- /dev/null
+++ b/packages/node/admitted_calls.cc
@@ -0,0 +1,241 @@
+#include "node/admitted_calls.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+#include <variant>
+
+#include <boost/asio/ip/address.hpp>
+
+#include "node/http_headers.h"
+#include "node/peer_exchange.h"
+
+namespace jackdawwind::node {
+
+namespace {
+
+http::request_header<>
+TargetHeader(const HttpRequest& aRequest)
+{
+  http::request_header<> header(aRequest.base());
+  StripHopByHop(header);
+  StripReserved(header);
+  header.erase(http::field::content_length);
+  header.version(11);
+  return header;
+}
+
+/// Makes a target's answer fit for the connection to the entry node.
+void
+PrepareAnswer(HttpResponse& aResponse, bool aHeadRequest)
+{
+  StripHopByHop(aResponse);
+  StripReserved(aResponse);
+  if (!aHeadRequest) {
+    aResponse.prepare_payload();
+  }
+}
+
+} // namespace
+
+HttpResponse
+PeerRefusal(ResultCode aCode)
+{
+  HttpResponse response = RefusalResponse(aCode, RunState::kNotRun);
+  WritePeerResult(response, PeerResult{ .code = aCode, .run = RunState::kNotRun });
+  return response;
+}
+
+void
+AdmittedCalls::Arrive(const ServerConnection::Pointer& aConnection,
+                      HttpRequest aRequest,
+                      BodyReservation aReservation)
+{
+  BodyBudget& budget = this->context.network.budget;
+  const std::optional<CallContext> callContext =
+    OpenCall(aRequest, this->context.settings.FleetSecret());
+  if (!callContext) {
+    ReportEvent(this->context.report, LogEvent::kBadPeerSeal, "kind=call");
+    aConnection->Respond(
+      PeerRefusal(ResultCode::kBadPeerCredential), BodyReservation(budget), AfterAnswer::kClose);
+    return;
+  }
+  const std::uint64_t exchange = ++this->context.lastExchange;
+  if (this->context.runningExchanges >= kMaxExchanges ||
+      !this->context.events.TryArrival(
+        AttemptArrived({ .exchange = exchange, .context = *callContext }))) {
+    HttpResponse response = PeerRefusal(ResultCode::kNodeBusy);
+    WritePeerResult(response,
+                    PeerResult{ .code = ResultCode::kNodeBusy,
+                                .run = RunState::kNotRun,
+                                .unusedAllowance = callContext->Allowance() });
+    aConnection->Respond(std::move(response), BodyReservation(budget), AfterAnswer::kKeep);
+    return;
+  }
+  ++this->context.runningExchanges;
+  http::request_header<> header = TargetHeader(aRequest);
+  this->calls.emplace(exchange,
+                      Call{ .connection = aConnection,
+                            .header = std::move(header),
+                            .body = std::make_shared<const std::string>(std::move(aRequest.body())),
+                            .reservation = std::move(aReservation),
+                            .running = {},
+                            .answer = {} });
+  aConnection->Wait(exchange);
+}
+
+void
+AdmittedCalls::OnGone(std::uint64_t aExchange)
+{
+  const auto found = this->calls.find(aExchange);
+  if (found == this->calls.end()) {
+    return;
+  }
+  found->second.connection.reset();
+  this->context.events.Deliver(AttemptAbandoned({ .exchange = aExchange }));
+  this->EraseWhenIdle(found);
+}
+
+void
+AdmittedCalls::Apply(const Dispatch& aEffect)
+{
+  const std::uint64_t exchange = aEffect.Exchange();
+  const auto found = this->calls.find(exchange);
+  ErrorCode error;
+  const asio::ip::address address = asio::ip::make_address(aEffect.Host(), error);
+  if (found == this->calls.end() || error) {
+    this->DeliverEnd(exchange, ConnectFailed());
+    return;
+  }
+  Call& call = found->second;
+  if (call.connection) {
+    call.connection->SendInterim();
+  }
+  OutgoingRequest request{
+    .endpoint = Tcp::endpoint(address, static_cast<std::uint16_t>(aEffect.Port())),
+    .header = call.header,
+    .body = call.body,
+    .reuse = aEffect.Idempotent() ? Reuse::kAny : Reuse::kRecent,
+    .timeout = aEffect.Remaining(),
+    .silence = std::nullopt,
+  };
+  const std::chrono::milliseconds remaining =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aEffect.Remaining());
+  request.header.set(kCallIdHeader, aEffect.CallId());
+  request.header.set(kDeadlineHeader, std::to_string(std::max<std::int64_t>(remaining.count(), 0)));
+  call.running = OutgoingExchange::Start(
+    this->context.network, std::move(request), [this, exchange](OutgoingResult aResult) {
+      this->OnTargetDone(exchange, std::move(aResult));
+    });
+}
+
+void
+AdmittedCalls::OnTargetDone(std::uint64_t aExchange, OutgoingResult aResult)
+{
+  const auto found = this->calls.find(aExchange);
+  if (found == this->calls.end()) {
+    return;
+  }
+  Call& call = found->second;
+  call.running.reset();
+  struct Visitor
+  {
+    TargetOutcome operator()(WholeAnswer& aAnswer) const
+    {
+      this->call.answer.emplace(std::move(aAnswer));
+      return TargetAnswered({ .status = this->call.answer->response.result_int() });
+    }
+    TargetOutcome operator()(const NothingSent&) const { return ConnectFailed(); }
+    TargetOutcome operator()(const Broken&) const { return Lost(); }
+    TargetOutcome operator()(const OutOfTime&) const { return TimedOut(); }
+
+    Call& call;
+  };
+  this->DeliverEnd(aExchange, std::visit(Visitor{ call }, aResult));
+  this->EraseWhenIdle(found);
+}
+
+void
+AdmittedCalls::DeliverEnd(std::uint64_t aExchange, TargetOutcome aOutcome)
+{
+  this->context.events.Deliver(
+    TargetEnded({ .exchange = aExchange, .outcome = std::move(aOutcome) }));
+}
+
+void
+AdmittedCalls::Apply(const Complete& aEffect)
+{
+  const auto found = this->calls.find(aEffect.Exchange());
+  if (found == this->calls.end()) {
+    return;
+  }
+  Call& call = found->second;
+  if (call.connection && call.answer) {
+    PrepareAnswer(call.answer->response, call.header.method() == http::verb::head);
+    WritePeerResult(call.answer->response,
+                    PeerResult{ .code = ResultCode::kOk,
+                                .run = RunState::kRan,
+                                .unusedAllowance = aEffect.UnusedAllowance(),
+                                .level = aEffect.Level(),
+                                .load = aEffect.Load() });
+    call.connection->Respond(
+      std::move(call.answer->response), std::move(call.answer->reservation), AfterAnswer::kKeep);
+  }
+  this->Erase(found);
+}
+
+void
+AdmittedCalls::Apply(const CancelDispatch& aEffect)
+{
+  const auto found = this->calls.find(aEffect.Exchange());
+  if (found == this->calls.end()) {
+    return;
+  }
+  if (found->second.running) {
+    found->second.running->Cancel();
+    found->second.running.reset();
+  }
+  this->EraseWhenIdle(found);
+}
+
+bool
+AdmittedCalls::TryRefuse(const Refuse& aEffect)
+{
+  const auto found = this->calls.find(aEffect.Exchange());
+  if (found == this->calls.end()) {
+    return false;
+  }
+  if (found->second.connection) {
+    HttpResponse response = RefusalResponse(aEffect.Code(), aEffect.Run(), aEffect.RetryAfter());
+    WritePeerResult(response,
+                    PeerResult{ .code = aEffect.Code(),
+                                .run = aEffect.Run(),
+                                .unusedAllowance = aEffect.UnusedAllowance(),
+                                .level = aEffect.Level(),
+                                .load = aEffect.Load() });
+    found->second.connection->Respond(
+      std::move(response), BodyReservation(this->context.network.budget), AfterAnswer::kKeep);
+  }
+  this->Erase(found);
+  return true;
+}
+
+void
+AdmittedCalls::EraseWhenIdle(Calls::iterator aCall)
+{
+  if (!aCall->second.connection && !aCall->second.running) {
+    this->Erase(aCall);
+  }
+}
+
+void
+AdmittedCalls::Erase(Calls::iterator aCall)
+{
+  if (aCall->second.running) {
+    aCall->second.running->Cancel();
+  }
+  this->calls.erase(aCall);
+  --this->context.runningExchanges;
+}
+
+} // namespace jackdawwind::node
--- /dev/null
+++ b/packages/node/decision_loop.h
@@ -0,0 +1,129 @@
+// Thread of the decisions: takes events from its ring, asks the core and hands out the effects.
+//
+//   DecisionLoop<NodeCore> loop(core, events, routes);
+//   loop.Start();
+//   ...                          // ends after the core's DrainFinished, or after Stop
+//
+// One event is handled at a time; the ring's reader sleeps until an event comes or the core's
+// NextWake(). Core is a template argument, so that tests can put their own core behind the rings.
+#pragma once
+
+#include <functional>
+#include <thread>
+#include <utility>
+#include <variant>
+
+#include "decisions/effects.h"
+#include "node/proxy_io.h"
+#include "node/report_item.h"
+#include "util/ring.h"
+#include "values/generated/calls.h"
+
+namespace jackdawwind::node {
+
+/// Where effects go. Each function applies the policy of its ring.
+struct EffectRoutes
+{
+  std::function<void(ProxyEffect)> proxy;
+  std::function<void(const SendPeer&)> peers;
+  std::function<void(const AppendLog&)> append;
+  std::function<void(const FollowLog&)> follow;
+  std::function<void(const StopFollowing&)> stopFollowing;
+  ReportSink report;
+  /// Called once on the decisions thread when the process may exit.
+  std::function<void()> drained;
+};
+
+/// Hands one effect to its route.
+class EffectRouter
+{
+public:
+  explicit EffectRouter(const EffectRoutes& aRoutes)
+    : routes(aRoutes)
+  {
+  }
+
+  void operator()(const Forward& aEffect) const { this->routes.proxy(aEffect); }
+  void operator()(const Refuse& aEffect) const { this->routes.proxy(aEffect); }
+  void operator()(const Relay& aEffect) const { this->routes.proxy(aEffect); }
+  void operator()(const CancelAttempt& aEffect) const { this->routes.proxy(aEffect); }
+  void operator()(const Dispatch& aEffect) const { this->routes.proxy(aEffect); }
+  void operator()(const Complete& aEffect) const { this->routes.proxy(aEffect); }
+  void operator()(const CancelDispatch& aEffect) const { this->routes.proxy(aEffect); }
+  void operator()(const ForgetPeer& aEffect) const { this->routes.proxy(aEffect); }
+  void operator()(const SendPeer& aEffect) const { this->routes.peers(aEffect); }
+  void operator()(const AppendLog& aEffect) const { this->routes.append(aEffect); }
+  void operator()(const FollowLog& aEffect) const { this->routes.follow(aEffect); }
+  void operator()(const StopFollowing& aEffect) const { this->routes.stopFollowing(aEffect); }
+  void operator()(const LogLine& aEffect) const { this->routes.report(aEffect); }
+  void operator()(const CallMeasured& aEffect) const { this->routes.report(aEffect); }
+  void operator()(const StatusReady& aEffect) const { this->routes.report(aEffect); }
+  void operator()(const PhaseChanged& aEffect) const
+  {
+    this->routes.proxy(aEffect);
+    this->routes.report(aEffect);
+  }
+  void operator()(const DrainFinished&) const { this->routes.drained(); }
+
+private:
+  const EffectRoutes& routes;
+};
+
+template<typename Core>
+class DecisionLoop
+{
+public:
+  DecisionLoop(Core& aCore, Ring<Event>& aEvents, EffectRoutes aRoutes)
+    : core(aCore)
+    , events(aEvents)
+    , routes(std::move(aRoutes))
+  {
+  }
+  ~DecisionLoop() { this->Stop(); }
+  DecisionLoop(const DecisionLoop&) = delete;
+  DecisionLoop& operator=(const DecisionLoop&) = delete;
+
+  void Start()
+  {
+    this->thread = std::thread([this] { this->Run(); });
+  }
+
+  /// Closes the ring of events and ends the thread.
+  void Stop()
+  {
+    this->events.Close();
+    if (this->thread.joinable()) {
+      this->thread.join();
+    }
+  }
+
+private:
+  void Run()
+  {
+    this->Route(this->core.Start(Clock::now()));
+    while (!this->events.Closed()) {
+      const std::vector<Event> batch = this->events.PopAll(this->core.NextWake());
+      for (const Event& event : batch) {
+        this->Route(this->core.Handle(event, Clock::now()));
+      }
+      const Time now = Clock::now();
+      if (now >= this->core.NextWake()) {
+        this->Route(this->core.Handle(TimerFired(), now));
+      }
+    }
+  }
+
+  void Route(const Effects& aEffects) const
+  {
+    for (const Effect& effect : aEffects) {
+      std::visit(EffectRouter(this->routes), effect);
+    }
+  }
+
+  Core& core;
+  Ring<Event>& events;
+  EffectRoutes routes;
+  std::thread thread;
+};
+
+} // namespace jackdawwind::node
--- /dev/null
+++ b/packages/node/entry_calls.cc
@@ -0,0 +1,244 @@
+#include "node/entry_calls.h"
+
+#include <utility>
+#include <variant>
+
+#include <boost/asio/ip/address.hpp>
+
+#include "node/http_headers.h"
+#include "node/peer_exchange.h"
+
+namespace jackdawwind::node {
+
+void
+EntryCalls::Arrive(const ServerConnection::Pointer& aConnection,
+                   ListenerKind aListener,
+                   HttpRequest aRequest,
+                   BodyReservation aReservation)
+{
+  const std::uint64_t exchange = ++this->context.lastExchange;
+  const std::variant<CallerCall, Rejection> read = ReadCallerCall(aRequest, aListener, exchange);
+  BodyBudget& budget = this->context.network.budget;
+  if (const Rejection* rejection = std::get_if<Rejection>(&read)) {
+    ReportEvent(this->context.report, LogEvent::kCallRefused, rejection->reason);
+    aConnection->Respond(RefusalResponse(rejection->code, RunState::kNotRun),
+                         BodyReservation(budget),
+                         AfterAnswer::kClose);
+    return;
+  }
+  const CallerCall& call = std::get<CallerCall>(read);
+  if (this->context.runningExchanges >= kMaxExchanges ||
+      !this->context.events.TryArrival(call.event)) {
+    ReportEvent(this->context.report, LogEvent::kCallRefused, "code=node_busy");
+    aConnection->Respond(RefusalResponse(ResultCode::kNodeBusy, RunState::kNotRun),
+                         BodyReservation(budget),
+                         this->After());
+    return;
+  }
+  ++this->context.runningExchanges;
+  http::request_header<> header = ForwardedHeader(aRequest, call.target);
+  this->calls.emplace(exchange,
+                      Call{ .connection = aConnection,
+                            .header = std::move(header),
+                            .body = std::make_shared<const std::string>(std::move(aRequest.body())),
+                            .reservation = std::move(aReservation),
+                            .attempts = {} });
+  aConnection->Wait(exchange);
+}
+
+void
+EntryCalls::OnGone(std::uint64_t aExchange)
+{
+  const auto found = this->calls.find(aExchange);
+  if (found == this->calls.end()) {
+    return;
+  }
+  found->second.connection.reset();
+  this->context.events.Deliver(CallAbandoned({ .exchange = aExchange }));
+  this->EraseWhenIdle(found);
+}
+
+void
+EntryCalls::Apply(const Forward& aEffect)
+{
+  const std::uint64_t exchange = aEffect.Exchange();
+  const std::uint32_t number = aEffect.Context().Attempt();
+  const auto found = this->calls.find(exchange);
+  ErrorCode error;
+  const asio::ip::address address = asio::ip::make_address(aEffect.Peer().Host(), error);
+  if (found == this->calls.end() || error) {
+    this->DeliverEnd(exchange, number, ConnectFailed());
+    return;
+  }
+  Call& call = found->second;
+  const std::string& peer = aEffect.Peer().Node();
+  const Tcp::endpoint endpoint(address, static_cast<std::uint16_t>(aEffect.Peer().CallPort()));
+  this->peers[peer] = endpoint;
+  OutgoingRequest request{ .endpoint = endpoint,
+                           .header = call.header,
+                           .body = call.body,
+                           .reuse = aEffect.Context().Idempotent() ? Reuse::kAny : Reuse::kRecent,
+                           .timeout = aEffect.Timeout(),
+                           .silence = kSilenceLimit };
+  SealCall(request.header, aEffect.Context(), *call.body, this->context.settings.FleetSecret());
+  call.attempts[number].running =
+    OutgoingExchange::Start(this->context.network,
+                            std::move(request),
+                            [this, exchange, number, peer](OutgoingResult aResult) {
+                              this->OnAttemptDone(exchange, number, peer, std::move(aResult));
+                            });
+}
+
+void
+EntryCalls::OnAttemptDone(std::uint64_t aExchange,
+                          std::uint32_t aAttempt,
+                          const std::string& aPeer,
+                          OutgoingResult aResult)
+{
+  const auto found = this->calls.find(aExchange);
+  if (found == this->calls.end()) {
+    return;
+  }
+  Attempt& attempt = found->second.attempts[aAttempt];
+  attempt.running.reset();
+  struct Visitor
+  {
+    AttemptOutcome operator()(WholeAnswer& aAnswer) const
+    {
+      return this->self.Keep(this->attempt, std::move(aAnswer));
+    }
+    AttemptOutcome operator()(const NothingSent&) const { return ConnectFailed(); }
+    AttemptOutcome operator()(const Broken& aBroken) const
+    {
+      if (aBroken.silent) {
+        ReportEvent(this->self.context.report, LogEvent::kSilentConnection, "peer=" + this->peer);
+      }
+      return Lost();
+    }
+    AttemptOutcome operator()(const OutOfTime&) const { return TimedOut(); }
+
+    EntryCalls& self;
+    Attempt& attempt;
+    const std::string& peer;
+  };
+  const AttemptOutcome outcome = std::visit(Visitor{ *this, attempt, aPeer }, aResult);
+  this->DeliverEnd(aExchange, aAttempt, outcome);
+  this->EraseWhenIdle(found);
+}
+
+AttemptOutcome
+EntryCalls::Keep(Attempt& aAttempt, WholeAnswer aAnswer)
+{
+  const std::optional<PeerResult> result = ReadPeerResult(aAnswer.response);
+  if (!result) {
+    return Lost();
+  }
+  aAttempt.answer.emplace(std::move(aAnswer));
+  return Answered({ .status = aAttempt.answer->response.result_int(),
+                    .code = result->code,
+                    .run = result->run,
+                    .unusedAllowance = result->unusedAllowance,
+                    .level = result->level,
+                    .load = result->load });
+}
+
+void
+EntryCalls::DeliverEnd(std::uint64_t aExchange, std::uint32_t aAttempt, AttemptOutcome aOutcome)
+{
+  this->context.events.Deliver(
+    AttemptEnded({ .exchange = aExchange, .attempt = aAttempt, .outcome = std::move(aOutcome) }));
+}
+
+void
+EntryCalls::Apply(const Relay& aEffect)
+{
+  const auto found = this->calls.find(aEffect.Exchange());
+  if (found == this->calls.end()) {
+    return;
+  }
+  Call& call = found->second;
+  const auto attempt = call.attempts.find(aEffect.Attempt());
+  if (call.connection && attempt != call.attempts.end() && attempt->second.answer) {
+    WholeAnswer& answer = *attempt->second.answer;
+    PrepareRelay(answer.response);
+    call.connection->Respond(
+      std::move(answer.response), std::move(answer.reservation), this->After());
+  }
+  this->Erase(found);
+}
+
+void
+EntryCalls::Apply(const CancelAttempt& aEffect)
+{
+  const auto found = this->calls.find(aEffect.Exchange());
+  if (found == this->calls.end()) {
+    return;
+  }
+  const auto attempt = found->second.attempts.find(aEffect.Attempt());
+  if (attempt != found->second.attempts.end() && attempt->second.running) {
+    attempt->second.running->Cancel();
+    attempt->second.running.reset();
+  }
+  this->EraseWhenIdle(found);
+}
+
+bool
+EntryCalls::TryRefuse(const Refuse& aEffect)
+{
+  const auto found = this->calls.find(aEffect.Exchange());
+  if (found == this->calls.end()) {
+    return false;
+  }
+  if (found->second.connection) {
+    found->second.connection->Respond(
+      RefusalResponse(aEffect.Code(), aEffect.Run(), aEffect.RetryAfter()),
+      BodyReservation(this->context.network.budget),
+      this->After());
+  }
+  this->Erase(found);
+  return true;
+}
+
+void
+EntryCalls::Apply(const ForgetPeer& aEffect)
+{
+  const auto found = this->peers.find(aEffect.Node());
+  if (found != this->peers.end()) {
+    this->context.network.pool.Discard(found->second);
+    this->peers.erase(found);
+  }
+}
+
+void
+EntryCalls::EraseWhenIdle(Calls::iterator aCall)
+{
+  if (aCall->second.connection) {
+    return;
+  }
+  for (const Call::Attempts::value_type& attempt : aCall->second.attempts) {
+    if (attempt.second.running) {
+      return;
+    }
+  }
+  this->Erase(aCall);
+}
+
+void
+EntryCalls::Erase(Calls::iterator aCall)
+{
+  for (const Call::Attempts::value_type& attempt : aCall->second.attempts) {
+    if (attempt.second.running) {
+      attempt.second.running->Cancel();
+    }
+  }
+  this->calls.erase(aCall);
+  --this->context.runningExchanges;
+}
+
+AfterAnswer
+EntryCalls::After() const
+{
+  return this->context.draining ? AfterAnswer::kClose : AfterAnswer::kKeep;
+}
+
+} // namespace jackdawwind::node
--- /dev/null
+++ b/packages/node/net.h
@@ -0,0 +1,66 @@
+// Short names of the network library, and the timer that limits every socket operation.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include <boost/asio/basic_waitable_timer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include "util/clock.h"
+
+namespace jackdawwind::node {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using Tcp = asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+using HttpRequest = http::request<http::string_body>;
+using HttpResponse = http::response<http::string_body>;
+using ClockTimer = asio::basic_waitable_timer<Clock>;
+
+/// Limits the time of one operation of an object that lives in shared_ptr.
+///
+///   this->timer.Arm(kConnectTimeout, [self = shared_from_this()] { self->OnConnectTimeout(); });
+///
+/// The handler must hold the owner of the timer; it does not run after Disarm or another Arm, not
+/// even when the time had passed before that call.
+class OperationTimer
+{
+public:
+  explicit OperationTimer(asio::io_context& aIo)
+    : timer(aIo)
+  {
+  }
+
+  template<typename Handler>
+  void Arm(Duration aTime, Handler aExpired)
+  {
+    ++this->generation;
+    this->timer.expires_after(aTime);
+    this->timer.async_wait([this, armed = this->generation, expired = std::move(aExpired)](
+                             const ErrorCode& aError) mutable {
+      if (!aError && armed == this->generation) {
+        expired();
+      }
+    });
+  }
+
+  void Disarm()
+  {
+    ++this->generation;
+    this->timer.cancel();
+  }
+
+private:
+  ClockTimer timer;
+  std::uint64_t generation = 0;
+};
+
+} // namespace jackdawwind::node
--- /dev/null
+++ b/packages/node/outgoing_exchange.cc
@@ -0,0 +1,276 @@
+#include "node/outgoing_exchange.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace jackdawwind::node {
+
+namespace {
+
+/// Room for body bytes that arrive together with the header section.
+constexpr std::size_t kReadAheadBytes = 65536;
+
+} // namespace
+
+std::shared_ptr<OutgoingExchange>
+OutgoingExchange::Start(const OutgoingNetwork& aNetwork, OutgoingRequest aRequest, Done aDone)
+{
+  std::shared_ptr<OutgoingExchange> exchange =
+    std::make_shared<OutgoingExchange>(aNetwork, std::move(aRequest), std::move(aDone));
+  asio::post(aNetwork.io, [exchange] { exchange->Begin(); });
+  return exchange;
+}
+
+OutgoingExchange::OutgoingExchange(const OutgoingNetwork& aNetwork,
+                                   OutgoingRequest aRequest,
+                                   Done aDone)
+  : network(aNetwork)
+  , request(std::move(aRequest))
+  , done(std::move(aDone))
+  , message(request.header)
+  , buffer(aNetwork.maxHeaderBytes + kReadAheadBytes)
+  , reservation(aNetwork.budget)
+  , totalTimer(aNetwork.io)
+  , stepTimer(aNetwork.io)
+{
+  const std::string& body = *this->request.body;
+  this->message.body() = Body::value_type(body.data(), body.size());
+  this->message.prepare_payload();
+  this->message.keep_alive(true);
+}
+
+void
+OutgoingExchange::Cancel()
+{
+  this->done = nullptr;
+  this->Close();
+}
+
+void
+OutgoingExchange::Begin()
+{
+  if (!this->done) {
+    return;
+  }
+  this->totalTimer.Arm(this->request.timeout,
+                       [self = this->shared_from_this()] { self->OnTimeout(); });
+  this->connection = this->network.pool.Take(this->request.endpoint, this->request.reuse);
+  if (this->connection) {
+    this->reused = true;
+    this->serializer.emplace(this->message);
+    this->WatchSilence();
+    this->WriteSome();
+    return;
+  }
+  this->Connect();
+}
+
+void
+OutgoingExchange::Connect()
+{
+  this->reused = false;
+  this->connection.emplace(PooledConnection{ Tcp::socket(this->network.io), Clock::now(), Time{} });
+  this->stepTimer.Arm(kConnectTimeout,
+                      [self = this->shared_from_this()] { self->Finish(NothingSent{}); });
+  this->connection->socket.async_connect(
+    this->request.endpoint,
+    [self = this->shared_from_this()](const ErrorCode& aError) { self->OnConnected(aError); });
+}
+
+void
+OutgoingExchange::OnConnected(const ErrorCode& aError)
+{
+  if (!this->done) {
+    return;
+  }
+  if (aError) {
+    this->Finish(NothingSent{});
+    return;
+  }
+  ErrorCode ignored;
+  this->connection->socket.set_option(Tcp::no_delay(true), ignored);
+  this->connection->opened = Clock::now();
+  this->serializer.emplace(this->message);
+  this->stepTimer.Disarm();
+  this->WatchSilence();
+  this->WriteSome();
+}
+
+void
+OutgoingExchange::WriteSome()
+{
+  http::async_write_some(
+    this->connection->socket,
+    *this->serializer,
+    [self = this->shared_from_this()](const ErrorCode& aError, std::size_t aBytes) {
+      self->OnWritten(aError, aBytes);
+    });
+}
+
+void
+OutgoingExchange::OnWritten(const ErrorCode& aError, std::size_t aBytes)
+{
+  if (!this->done) {
+    return;
+  }
+  this->anyWritten = this->anyWritten || aBytes > 0;
+  if (aError && !this->anyWritten) {
+    if (this->reused) {
+      // The other side closed the idle connection and no byte was sent, so a new one is safe.
+      this->Connect();
+      return;
+    }
+    this->Finish(NothingSent{});
+    return;
+  }
+  if (!aError && !this->serializer->is_done()) {
+    this->WatchSilence();
+    this->WriteSome();
+    return;
+  }
+  // After a failed write a refusal may still stand in the receive buffer.
+  this->WatchSilence();
+  this->ReadAnswer();
+}
+
+void
+OutgoingExchange::ReadAnswer()
+{
+  this->parser.emplace();
+  this->parser->header_limit(this->network.maxHeaderBytes);
+  this->parser->body_limit(this->network.maxBodyBytes);
+  if (this->message.method() == http::verb::head) {
+    this->parser->skip(true);
+  }
+  this->ReadSome();
+}
+
+void
+OutgoingExchange::ReadSome()
+{
+  http::async_read_some(this->connection->socket,
+                        this->buffer,
+                        *this->parser,
+                        [self = this->shared_from_this()](const ErrorCode& aError, std::size_t) {
+                          self->OnRead(aError);
+                        });
+}
+
+void
+OutgoingExchange::OnRead(const ErrorCode& aError)
+{
+  if (!this->done) {
+    return;
+  }
+  // A body that ends with the connection cannot be told from a truncated one.
+  const bool endless =
+    this->parser->is_header_done() && !this->parser->is_done() && this->parser->need_eof();
+  if (aError || endless || !this->HoldBody()) {
+    this->Finish(Broken{});
+    return;
+  }
+  this->WatchSilence();
+  if (!this->parser->is_done()) {
+    this->ReadSome();
+    return;
+  }
+  this->OnComplete();
+}
+
+bool
+OutgoingExchange::HoldBody()
+{
+  if (!this->parser->is_header_done()) {
+    return true;
+  }
+  std::uint64_t size = this->parser->get().body().size();
+  if (this->parser->content_length() && this->message.method() != http::verb::head) {
+    size = std::max<std::uint64_t>(size, *this->parser->content_length());
+  }
+  return this->reservation.GrowTo(size);
+}
+
+void
+OutgoingExchange::OnComplete()
+{
+  const unsigned status = this->parser->get().result_int();
+  if (status == static_cast<unsigned>(http::status::switching_protocols)) {
+    this->Finish(Broken{});
+    return;
+  }
+  if (http::to_status_class(status) == http::status_class::informational) {
+    this->ReadAnswer();
+    return;
+  }
+  WholeAnswer answer{ this->parser->release(), std::move(this->reservation) };
+  if (answer.response.keep_alive() && this->serializer->is_done() && this->buffer.size() == 0) {
+    this->network.pool.Return(this->request.endpoint, std::move(*this->connection));
+    this->connection.reset();
+  }
+  this->Finish(std::move(answer));
+}
+
+void
+OutgoingExchange::WatchSilence()
+{
+  if (this->request.silence) {
+    this->stepTimer.Arm(*this->request.silence,
+                        [self = this->shared_from_this()] { self->OnSilence(); });
+  }
+}
+
+void
+OutgoingExchange::OnSilence()
+{
+  if (!this->done) {
+    return;
+  }
+  this->network.pool.DiscardOpenedBefore(this->request.endpoint, Clock::now());
+  if (this->anyWritten) {
+    this->Finish(Broken{ .silent = true });
+  } else {
+    this->Finish(NothingSent{});
+  }
+}
+
+void
+OutgoingExchange::OnTimeout()
+{
+  if (!this->done) {
+    return;
+  }
+  if (this->anyWritten) {
+    this->Finish(OutOfTime{});
+  } else {
+    this->Finish(NothingSent{});
+  }
+}
+
+void
+OutgoingExchange::Finish(OutgoingResult aResult)
+{
+  Done handler;
+  handler.swap(this->done);
+  this->Close();
+  if (handler) {
+    handler(std::move(aResult));
+  }
+}
+
+void
+OutgoingExchange::Close()
+{
+  this->totalTimer.Disarm();
+  this->stepTimer.Disarm();
+  if (this->connection) {
+    ErrorCode ignored;
+    this->connection->socket.close(ignored);
+  }
+}
+
+} // namespace jackdawwind::node
--- /dev/null
+++ b/packages/node/proxy_io.cc
@@ -0,0 +1,305 @@
+#include "node/proxy_io.h"
+
+#include <algorithm>
+#include <initializer_list>
+#include <optional>
+#include <utility>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
+
+#include "wire/codec.h"
+#include "wire/generated/calls_codec.h"
+
+namespace jackdawwind::node {
+
+namespace {
+
+constexpr const char* kAnnouncePath = "/target";
+
+HttpResponse
+RejectCaller(const ReportSink& aReport, const Rejection& aRejection)
+{
+  ReportEvent(aReport, LogEvent::kCallRefused, aRejection.reason);
+  return RefusalResponse(aRejection.code, RunState::kNotRun);
+}
+
+} // namespace
+
+ProxyIo::Opened
+ProxyIo::Open(const NodeSettings& aSettings, Ring<Event>& aEvents, ReportSink aReport)
+{
+  std::unique_ptr<ProxyIo> proxy =
+    std::make_unique<ProxyIo>(aSettings, aEvents, std::move(aReport));
+  const std::optional<ListenError> error = proxy->OpenListeners();
+  if (error) {
+    return *error;
+  }
+  return proxy;
+}
+
+ProxyIo::ProxyIo(const NodeSettings& aSettings, Ring<Event>& aEvents, ReportSink aReport)
+  : settings(aSettings)
+  , report(std::move(aReport))
+  , budget(aSettings.BodyMemoryBytes())
+  , io(1)
+  , events(this->io, aEvents, this->report)
+  , context{ .settings = aSettings,
+             .network = OutgoingNetwork{ .io = this->io,
+                                         .pool = this->pool,
+                                         .budget = this->budget,
+                                         .maxHeaderBytes = aSettings.MaxHeaderBytes(),
+                                         .maxBodyBytes = aSettings.MaxBodyBytes() },
+             .events = this->events,
+             .report = this->report }
+  , entryCalls(this->context)
+  , admittedCalls(this->context)
+  , sweepTimer(this->io)
+  , flushTimer(this->io)
+  , effects(kEffectRing, [this] { asio::post(this->io, [this] { this->ApplyEffects(); }); })
+{
+}
+
+ProxyIo::~ProxyIo()
+{
+  this->Stop();
+}
+
+std::optional<ListenError>
+ProxyIo::OpenListeners()
+{
+  struct Slot
+  {
+    const ListenAddress& address;
+    std::unique_ptr<Listener>& listener;
+  };
+  for (const Slot& slot : { Slot{ this->settings.Callers(), this->callers },
+                            Slot{ this->settings.Target(), this->target },
+                            Slot{ this->settings.PeerCalls(), this->peers } }) {
+    Listener::Opened opened = Listener::Open(this->io, slot.address);
+    if (const ListenError* error = std::get_if<ListenError>(&opened)) {
+      return *error;
+    }
+    slot.listener = std::get<std::unique_ptr<Listener>>(std::move(opened));
+  }
+  return std::nullopt;
+}
+
+ProxyIo::Ports
+ProxyIo::ListenPorts() const
+{
+  return { this->callers->Port(), this->target->Port(), this->peers->Port() };
+}
+
+void
+ProxyIo::Start()
+{
+  this->callers->Start([this](Tcp::socket aSocket) {
+    this->AcceptCaller(std::move(aSocket), ListenerKind::kCallers);
+  });
+  this->target->Start(
+    [this](Tcp::socket aSocket) { this->AcceptCaller(std::move(aSocket), ListenerKind::kTarget); });
+  this->peers->Start([this](Tcp::socket aSocket) { this->AcceptPeer(std::move(aSocket)); });
+  this->Sweep();
+  this->thread = std::thread([this] { this->io.run(); });
+}
+
+bool
+ProxyIo::Submit(ProxyEffect aEffect)
+{
+  return this->effects.Push(std::move(aEffect));
+}
+
+void
+ProxyIo::Stop()
+{
+  if (!this->thread.joinable()) {
+    return;
+  }
+  this->effects.Close();
+  asio::post(this->io, [this] {
+    this->ApplyEffects();
+    this->callers->Stop();
+    this->target->Stop();
+    this->peers->Stop();
+    this->Flush(Clock::now() + kFlushLimit);
+  });
+  this->thread.join();
+}
+
+ServerConnection::Options
+ProxyIo::ConnectionOptions() const
+{
+  return { .maxHeaderBytes = this->settings.MaxHeaderBytes(),
+           .maxBodyBytes = this->settings.MaxBodyBytes(),
+           .interim = std::nullopt };
+}
+
+void
+ProxyIo::AcceptCaller(Tcp::socket aSocket, ListenerKind aListener)
+{
+  const bool isTarget = aListener == ListenerKind::kTarget;
+  const std::shared_ptr<std::size_t>& count = isTarget ? this->targetCount : this->callerCount;
+  if (*count >= kMaxConnections) {
+    return;
+  }
+  ServerConnection::Handlers handlers;
+  handlers.gone = [this](std::uint64_t aExchange) { this->entryCalls.OnGone(aExchange); };
+  handlers.reject = [this](const Rejection& aRejection) {
+    return RejectCaller(this->report, aRejection);
+  };
+  handlers.request = [this, isTarget](const ServerConnection::Pointer& aConnection,
+                                      HttpRequest aRequest,
+                                      BodyReservation aReservation) {
+    if (isTarget) {
+      this->OnTargetRequest(aConnection, std::move(aRequest), std::move(aReservation));
+    } else {
+      this->entryCalls.Arrive(
+        aConnection, ListenerKind::kCallers, std::move(aRequest), std::move(aReservation));
+    }
+  };
+  this->Begin(std::make_shared<ServerConnection>(std::move(aSocket),
+                                                 this->io,
+                                                 this->budget,
+                                                 count,
+                                                 this->ConnectionOptions(),
+                                                 std::move(handlers)));
+}
+
+void
+ProxyIo::AcceptPeer(Tcp::socket aSocket)
+{
+  if (*this->peerCount >= kMaxConnections) {
+    return;
+  }
+  ServerConnection::Handlers handlers;
+  handlers.gone = [this](std::uint64_t aExchange) { this->admittedCalls.OnGone(aExchange); };
+  handlers.reject = [this](const Rejection& aRejection) {
+    ReportEvent(this->report, LogEvent::kCallRefused, aRejection.reason);
+    return PeerRefusal(aRejection.code);
+  };
+  handlers.request = [this](const ServerConnection::Pointer& aConnection,
+                            HttpRequest aRequest,
+                            BodyReservation aReservation) {
+    this->admittedCalls.Arrive(aConnection, std::move(aRequest), std::move(aReservation));
+  };
+  ServerConnection::Options options = this->ConnectionOptions();
+  options.interim = kInterimInterval;
+  this->Begin(std::make_shared<ServerConnection>(
+    std::move(aSocket), this->io, this->budget, this->peerCount, options, std::move(handlers)));
+}
+
+void
+ProxyIo::Begin(const ServerConnection::Pointer& aConnection)
+{
+  this->connections.push_back(aConnection);
+  aConnection->Start();
+}
+
+void
+ProxyIo::OnTargetRequest(const ServerConnection::Pointer& aConnection,
+                         HttpRequest aRequest,
+                         BodyReservation aReservation)
+{
+  if (aRequest.method() == http::verb::put && aRequest.target() == kAnnouncePath) {
+    this->OnAnnouncement(aConnection, aRequest);
+    return;
+  }
+  this->entryCalls.Arrive(
+    aConnection, ListenerKind::kTarget, std::move(aRequest), std::move(aReservation));
+}
+
+void
+ProxyIo::OnAnnouncement(const ServerConnection::Pointer& aConnection, const HttpRequest& aRequest)
+{
+  const wire::Decoded<TargetAnnounced> decoded = wire::DecodeText<TargetAnnounced>(aRequest.body());
+  ErrorCode addressError;
+  const TargetAnnounced* announced = std::get_if<TargetAnnounced>(&decoded);
+  if (announced != nullptr) {
+    asio::ip::make_address(announced->Host(), addressError);
+  }
+  HttpResponse response;
+  if (announced == nullptr || addressError) {
+    response = RejectCaller(this->report,
+                            { ResultCode::kMalformedRequest, "the announcement is not valid" });
+  } else if (!this->context.events.TryArrival(*announced)) {
+    response = RefusalResponse(ResultCode::kNodeBusy, RunState::kNotRun);
+  } else {
+    response.result(http::status::no_content);
+  }
+  aConnection->Respond(std::move(response), BodyReservation(this->budget), AfterAnswer::kKeep);
+}
+
+void
+ProxyIo::ApplyEffects()
+{
+  for (const ProxyEffect& effect : this->effects.PopReady()) {
+    struct Visitor
+    {
+      void operator()(const Forward& aEffect) const { this->self.entryCalls.Apply(aEffect); }
+      void operator()(const Refuse& aEffect) const { this->self.Apply(aEffect); }
+      void operator()(const Relay& aEffect) const { this->self.entryCalls.Apply(aEffect); }
+      void operator()(const CancelAttempt& aEffect) const { this->self.entryCalls.Apply(aEffect); }
+      void operator()(const Dispatch& aEffect) const { this->self.admittedCalls.Apply(aEffect); }
+      void operator()(const Complete& aEffect) const { this->self.admittedCalls.Apply(aEffect); }
+      void operator()(const CancelDispatch& aEffect) const
+      {
+        this->self.admittedCalls.Apply(aEffect);
+      }
+      void operator()(const ForgetPeer& aEffect) const { this->self.entryCalls.Apply(aEffect); }
+      void operator()(const PhaseChanged& aEffect) const { this->self.Apply(aEffect); }
+
+      ProxyIo& self;
+    };
+    std::visit(Visitor{ *this }, effect);
+  }
+}
+
+void
+ProxyIo::Apply(const Refuse& aEffect)
+{
+  if (!this->entryCalls.TryRefuse(aEffect)) {
+    this->admittedCalls.TryRefuse(aEffect);
+  }
+}
+
+void
+ProxyIo::Apply(const PhaseChanged& aEffect)
+{
+  this->context.draining = aEffect.GetPhase() == Phase::kDraining;
+}
+
+void
+ProxyIo::Sweep()
+{
+  this->pool.Sweep(Clock::now());
+  std::erase_if(this->connections, [](const std::weak_ptr<ServerConnection>& aConnection) {
+    return aConnection.expired();
+  });
+  this->sweepTimer.expires_after(kSweepInterval);
+  this->sweepTimer.async_wait([this](const ErrorCode& aError) {
+    if (!aError) {
+      this->Sweep();
+    }
+  });
+}
+
+void
+ProxyIo::Flush(Time aDeadline)
+{
+  const bool writing = std::any_of(this->connections.begin(),
+                                   this->connections.end(),
+                                   [](const std::weak_ptr<ServerConnection>& aConnection) {
+                                     const ServerConnection::Pointer one = aConnection.lock();
+                                     return one && one->IsWriting();
+                                   });
+  if (!writing || Clock::now() >= aDeadline) {
+    this->io.stop();
+    return;
+  }
+  this->flushTimer.expires_after(kFlushCheck);
+  this->flushTimer.async_wait([this, aDeadline](const ErrorCode&) { this->Flush(aDeadline); });
+}
+
+} // namespace jackdawwind::node
--- /dev/null
+++ b/packages/node/server_connection.cc
@@ -0,0 +1,375 @@
+#include "node/server_connection.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <string_view>
+#include <utility>
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace jackdawwind::node {
+
+namespace {
+
+constexpr std::string_view kInterim = "HTTP/1.1 102 Processing\r\n\r\n";
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+/// Room for body bytes that arrive together with the header section.
+constexpr std::size_t kReadAheadBytes = 65536;
+constexpr std::size_t kWatchBytes = 4096;
+/// Pipelined bytes that are kept while an answer is awaited; beyond it a leaving client is noticed
+/// only when the answer is written.
+constexpr std::size_t kMaxPipelinedBytes = 16384;
+/// After a refusal in the middle of a request the rest is read and dropped within these limits;
+/// closing at once would make the client's system discard the refusal.
+constexpr std::size_t kLingerBytes = 1U << 20U;
+constexpr Duration kLingerTimeout = std::chrono::seconds(2);
+constexpr unsigned kHttp10 = 10;
+constexpr unsigned kHttp11 = 11;
+
+} // namespace
+
+ServerConnection::ServerConnection(Tcp::socket aSocket,
+                                   asio::io_context& aIo,
+                                   BodyBudget& aBudget,
+                                   std::shared_ptr<std::size_t> aOpenCount,
+                                   const Options& aOptions,
+                                   Handlers aHandlers)
+  : socket(std::move(aSocket))
+  , budget(aBudget)
+  , openCount(std::move(aOpenCount))
+  , options(aOptions)
+  , handlers(std::move(aHandlers))
+  , buffer(aOptions.maxHeaderBytes + kReadAheadBytes)
+  , reservation(aBudget)
+  , timer(aIo)
+  , interimTimer(aIo)
+  , answerReservation(aBudget)
+{
+  ++*this->openCount;
+}
+
+ServerConnection::~ServerConnection()
+{
+  --*this->openCount;
+}
+
+void
+ServerConnection::Start()
+{
+  ErrorCode ignored;
+  this->socket.set_option(Tcp::no_delay(true), ignored);
+  this->ReadHeader();
+}
+
+void
+ServerConnection::ReadHeader()
+{
+  this->wholeRequest = false;
+  this->parser.emplace();
+  this->parser->header_limit(this->options.maxHeaderBytes);
+  this->parser->body_limit(this->options.maxBodyBytes);
+  this->timer.Arm(kHeaderTimeout, [self = this->shared_from_this()] { self->Close(); });
+  http::async_read_header(this->socket,
+                          this->buffer,
+                          *this->parser,
+                          [self = this->shared_from_this()](const ErrorCode& aError, std::size_t) {
+                            self->OnHeader(aError);
+                          });
+}
+
+void
+ServerConnection::OnHeader(const ErrorCode& aError)
+{
+  if (!this->open) {
+    return;
+  }
+  if (aError) {
+    this->RejectError(aError);
+    return;
+  }
+  const unsigned version = this->parser->get().version();
+  if (version != kHttp10 && version != kHttp11) {
+    this->Reject(ResultCode::kMalformedRequest, "the HTTP version is not supported");
+    return;
+  }
+  this->keepAlive = this->parser->get().keep_alive();
+  this->headRequest = this->parser->get().method() == http::verb::head;
+  if (!this->HoldBody()) {
+    this->Reject(ResultCode::kNodeBusy, "no memory for the body");
+    return;
+  }
+  this->timer.Arm(kBodyTimeout, [self = this->shared_from_this()] { self->Close(); });
+  if (beast::iequals(this->parser->get()[http::field::expect], "100-continue")) {
+    this->writing = true;
+    asio::async_write(this->socket,
+                      asio::buffer(kContinue.data(), kContinue.size()),
+                      [self = this->shared_from_this()](const ErrorCode& aFailure, std::size_t) {
+                        self->writing = false;
+                        if (aFailure) {
+                          self->Close();
+                        } else if (self->open) {
+                          self->BeginBody();
+                        }
+                      });
+    return;
+  }
+  this->BeginBody();
+}
+
+void
+ServerConnection::BeginBody()
+{
+  this->ArmInterim();
+  if (this->parser->is_done()) {
+    this->OnBody(ErrorCode());
+    return;
+  }
+  this->ReadBody();
+}
+
+void
+ServerConnection::ReadBody()
+{
+  http::async_read_some(this->socket,
+                        this->buffer,
+                        *this->parser,
+                        [self = this->shared_from_this()](const ErrorCode& aError, std::size_t) {
+                          self->OnBody(aError);
+                        });
+}
+
+void
+ServerConnection::OnBody(const ErrorCode& aError)
+{
+  if (!this->open) {
+    return;
+  }
+  if (aError) {
+    this->RejectError(aError);
+    return;
+  }
+  if (!this->HoldBody()) {
+    this->Reject(ResultCode::kNodeBusy, "no memory for the body");
+    return;
+  }
+  if (!this->parser->is_done()) {
+    this->ReadBody();
+    return;
+  }
+  this->wholeRequest = true;
+  this->timer.Disarm();
+  this->handlers.request(
+    this->shared_from_this(), this->parser->release(), std::move(this->reservation));
+}
+
+bool
+ServerConnection::HoldBody()
+{
+  std::uint64_t size = this->parser->get().body().size();
+  if (this->parser->content_length()) {
+    size = std::max<std::uint64_t>(size, *this->parser->content_length());
+  }
+  return this->reservation.GrowTo(size);
+}
+
+void
+ServerConnection::Reject(ResultCode aCode, const std::string& aReason)
+{
+  this->reservation.Release();
+  this->Respond(this->handlers.reject(Rejection{ aCode, aReason }),
+                BodyReservation(this->budget),
+                AfterAnswer::kClose);
+}
+
+void
+ServerConnection::RejectError(const ErrorCode& aError)
+{
+  if (aError == http::error::header_limit || aError == http::error::buffer_overflow) {
+    this->Reject(ResultCode::kHeaderTooLarge, "header section over the limit");
+  } else if (aError == http::error::body_limit) {
+    this->Reject(ResultCode::kBodyTooLarge, "body over the limit");
+  } else if (aError.category() == http::make_error_code(http::error::bad_method).category() &&
+             aError != http::error::end_of_stream && aError != http::error::partial_message) {
+    this->Reject(ResultCode::kMalformedRequest, aError.message());
+  } else {
+    this->Close();
+  }
+}
+
+void
+ServerConnection::Wait(std::uint64_t aExchange)
+{
+  this->exchange = aExchange;
+  this->Watch();
+}
+
+void
+ServerConnection::Watch()
+{
+  if (this->watching || this->buffer.size() >= kMaxPipelinedBytes) {
+    return;
+  }
+  this->watching = true;
+  this->socket.async_read_some(
+    this->buffer.prepare(kWatchBytes),
+    [self = this->shared_from_this()](const ErrorCode& aError, std::size_t aBytes) {
+      self->OnWatched(aError, aBytes);
+    });
+}
+
+void
+ServerConnection::OnWatched(const ErrorCode& aError, std::size_t aBytes)
+{
+  this->watching = false;
+  if (!this->open) {
+    return;
+  }
+  if (aError) {
+    // A client that only stops sending after its request looks the same as one that left.
+    this->Close();
+    return;
+  }
+  this->buffer.commit(aBytes);
+  if (this->exchange != 0) {
+    this->Watch();
+  } else if (!this->IsWriting()) {
+    this->ReadHeader();
+  }
+}
+
+void
+ServerConnection::ArmInterim()
+{
+  if (this->options.interim) {
+    this->interimTimer.Arm(*this->options.interim,
+                           [self = this->shared_from_this()] { self->SendInterim(); });
+  }
+}
+
+void
+ServerConnection::SendInterim()
+{
+  if (!this->open || this->answer) {
+    return;
+  }
+  this->ArmInterim();
+  if (this->writing) {
+    return;
+  }
+  this->writing = true;
+  asio::async_write(this->socket,
+                    asio::buffer(kInterim.data(), kInterim.size()),
+                    [self = this->shared_from_this()](const ErrorCode& aError, std::size_t) {
+                      self->writing = false;
+                      if (aError) {
+                        self->Close();
+                      } else if (self->answer) {
+                        self->WriteAnswer();
+                      }
+                    });
+}
+
+void
+ServerConnection::Respond(HttpResponse aResponse, BodyReservation aReservation, AfterAnswer aAfter)
+{
+  if (!this->open || this->answer) {
+    return;
+  }
+  this->exchange = 0;
+  this->interimTimer.Disarm();
+  this->keepAlive = this->keepAlive && aAfter == AfterAnswer::kKeep;
+  this->answer = std::move(aResponse);
+  this->answer->version(kHttp11);
+  this->answer->keep_alive(this->keepAlive);
+  if (this->headRequest) {
+    // The answer to HEAD keeps its Content-Length but has no body.
+    this->answer->body().clear();
+  }
+  this->answerReservation = std::move(aReservation);
+  if (!this->writing) {
+    this->WriteAnswer();
+  }
+}
+
+void
+ServerConnection::WriteAnswer()
+{
+  this->writing = true;
+  this->timer.Arm(kWriteTimeout, [self = this->shared_from_this()] { self->Close(); });
+  http::async_write(this->socket,
+                    *this->answer,
+                    [self = this->shared_from_this()](const ErrorCode& aError, std::size_t) {
+                      self->OnAnswerWritten(aError);
+                    });
+}
+
+void
+ServerConnection::OnAnswerWritten(const ErrorCode& aError)
+{
+  this->writing = false;
+  this->answer.reset();
+  this->answerReservation.Release();
+  if (!this->open) {
+    return;
+  }
+  if (aError) {
+    this->Close();
+  } else if (!this->keepAlive) {
+    this->Linger();
+  } else if (this->watching) {
+    // The pending read gets the first bytes of the next request.
+    this->timer.Arm(kHeaderTimeout, [self = this->shared_from_this()] { self->Close(); });
+  } else {
+    this->ReadHeader();
+  }
+}
+
+void
+ServerConnection::Linger()
+{
+  if (this->wholeRequest) {
+    this->Close();
+    return;
+  }
+  ErrorCode ignored;
+  this->socket.shutdown(Tcp::socket::shutdown_send, ignored);
+  this->timer.Arm(kLingerTimeout, [self = this->shared_from_this()] { self->Close(); });
+  this->ReadLinger(kLingerBytes);
+}
+
+void
+ServerConnection::ReadLinger(std::size_t aLeft)
+{
+  this->buffer.clear();
+  this->socket.async_read_some(
+    this->buffer.prepare(kWatchBytes),
+    [self = this->shared_from_this(), aLeft](const ErrorCode& aError, std::size_t aBytes) {
+      if (!self->open || aError || aBytes >= aLeft) {
+        self->Close();
+        return;
+      }
+      self->ReadLinger(aLeft - aBytes);
+    });
+}
+
+void
+ServerConnection::Close()
+{
+  if (!this->open) {
+    return;
+  }
+  this->open = false;
+  this->timer.Disarm();
+  this->interimTimer.Disarm();
+  ErrorCode ignored;
+  this->socket.close(ignored);
+  if (this->exchange != 0) {
+    this->handlers.gone(std::exchange(this->exchange, 0));
+  }
+}
+
+} // namespace jackdawwind::node
