--- a/packages/node/admitted_calls.cc
+++ b/packages/node/admitted_calls.cc
@@ -56,6 +56,7 @@
     OpenCall(aRequest, this->context.settings.FleetSecret());
   if (!callContext) {
     ReportEvent(this->context.report, LogEvent::kBadPeerSeal, "kind=call");
+    this->context.report(RefusedUnseen{ ResultCode::kBadPeerCredential, "no valid seal" });
     aConnection->Respond(
       PeerRefusal(ResultCode::kBadPeerCredential), BodyReservation(budget), AfterAnswer::kClose);
     return;
@@ -64,6 +65,7 @@
   if (this->context.runningExchanges >= kMaxExchanges ||
       !this->context.events.TryArrival(
         AttemptArrived({ .exchange = exchange, .context = *callContext }))) {
+    this->context.report(RefusedUnseen{ ResultCode::kNodeBusy, "no room for an event" });
     HttpResponse response = PeerRefusal(ResultCode::kNodeBusy);
     WritePeerResult(response,
                     PeerResult{ .code = ResultCode::kNodeBusy,
--- a/packages/node/entry_calls.cc
+++ b/packages/node/entry_calls.cc
@@ -20,7 +20,7 @@
   const std::variant<CallerCall, Rejection> read = ReadCallerCall(aRequest, aListener, exchange);
   BodyBudget& budget = this->context.network.budget;
   if (const Rejection* rejection = std::get_if<Rejection>(&read)) {
-    ReportEvent(this->context.report, LogEvent::kCallRefused, rejection->reason);
+    this->context.report(RefusedUnseen{ rejection->code, rejection->reason });
     aConnection->Respond(RefusalResponse(rejection->code, RunState::kNotRun),
                          BodyReservation(budget),
                          AfterAnswer::kClose);
@@ -29,7 +29,7 @@
   const CallerCall& call = std::get<CallerCall>(read);
   if (this->context.runningExchanges >= kMaxExchanges ||
       !this->context.events.TryArrival(call.event)) {
-    ReportEvent(this->context.report, LogEvent::kCallRefused, "code=node_busy");
+    this->context.report(RefusedUnseen{ ResultCode::kNodeBusy, "no room for an event" });
     aConnection->Respond(RefusalResponse(ResultCode::kNodeBusy, RunState::kNotRun),
                          BodyReservation(budget),
                          this->After());
--- /dev/null
+++ b/packages/node/log_writer.cc
@@ -0,0 +1,72 @@
+#include "node/log_writer.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <easylogging++.h>
+
+#include "util/clock.h"
+#include "values/text.h"
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace jackdawwind::node {
+
+namespace {
+
+constexpr const char* kLogger = "jackdawwind";
+
+std::string
+OneLine(std::string aText)
+{
+  std::replace_if(
+    aText.begin(), aText.end(), [](unsigned char aCharacter) { return aCharacter < ' '; }, ' ');
+  return aText;
+}
+
+} // namespace
+
+LogWriter::LogWriter(LogLevel aLeastLevel, std::string aNode)
+  : leastLevel(aLeastLevel)
+  , node(std::move(aNode))
+{
+  el::Configurations configuration;
+  configuration.setToDefault();
+  configuration.setGlobally(el::ConfigurationType::Format, "%msg");
+  configuration.setGlobally(el::ConfigurationType::ToFile, "false");
+  configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+  el::Loggers::getLogger(kLogger);
+  el::Loggers::reconfigureLogger(kLogger, configuration);
+}
+
+void
+LogWriter::Write(LogEvent aEvent, const std::string& aDetail) const
+{
+  const LogLevel level = LevelOf(aEvent);
+  if (level < this->leastLevel) {
+    return;
+  }
+  std::string line = "time=" + std::to_string(WallTime().count()) +
+                     " level=" + std::string(ToText(level)) +
+                     " event=" + std::to_string(static_cast<unsigned>(aEvent)) +
+                     " name=" + std::string(ToText(aEvent)) + " node=" + this->node;
+  if (!aDetail.empty()) {
+    line += " " + OneLine(aDetail);
+  }
+  switch (level) {
+    case LogLevel::kDebug:
+      CLOG(DEBUG, kLogger) << line;
+      break;
+    case LogLevel::kInfo:
+      CLOG(INFO, kLogger) << line;
+      break;
+    case LogLevel::kWarning:
+      CLOG(WARNING, kLogger) << line;
+      break;
+    case LogLevel::kError:
+      CLOG(ERROR, kLogger) << line;
+      break;
+  }
+}
+
+} // namespace jackdawwind::node
--- /dev/null
+++ b/packages/node/main.cc
@@ -0,0 +1,115 @@
+// Program jackdawwind: runs one node until SIGTERM or SIGINT, then drains it.
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <memory>
+#include <string>
+#include <variant>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <cxxopts.hpp>
+
+#include "node/log_writer.h"
+#include "node/net.h"
+#include "node/node_process.h"
+#include "node/settings_file.h"
+
+namespace jackdawwind::node {
+
+namespace {
+
+/// Time until a drain request is offered again when the ring of events is full.
+constexpr Duration kRetryTime = std::chrono::milliseconds(20);
+
+/// Waits for signals on the main thread and turns the first one into a drain.
+class SignalWatch
+{
+public:
+  SignalWatch(asio::io_context& aIo, NodeProcess& aNode)
+    : signals(aIo, SIGTERM, SIGINT)
+    , retryTimer(aIo)
+    , node(aNode)
+  {
+    this->signals.async_wait([this](const ErrorCode& aError, int) {
+      if (!aError) {
+        this->Request();
+      }
+    });
+  }
+
+private:
+  void Request()
+  {
+    if (this->node.RequestDrain()) {
+      return;
+    }
+    this->retryTimer.expires_after(kRetryTime);
+    this->retryTimer.async_wait([this](const ErrorCode&) { this->Request(); });
+  }
+
+  asio::signal_set signals;
+  ClockTimer retryTimer;
+  NodeProcess& node;
+};
+
+int
+RunNode(const NodeSettings& aSettings)
+{
+  NodeProcess::Opened opened = NodeProcess::Open(aSettings);
+  if (const ListenError* error = std::get_if<ListenError>(&opened)) {
+    const LogWriter log(aSettings.GetLogLevel(), aSettings.Node());
+    log.Write(LogEvent::kListenerFailed,
+              "address=" + error->address + " reason=\"" + error->reason + "\"");
+    return EXIT_FAILURE;
+  }
+  NodeProcess& node = *std::get<std::unique_ptr<NodeProcess>>(opened);
+  asio::io_context io(1);
+  const asio::executor_work_guard<asio::io_context::executor_type> work(io.get_executor());
+  const SignalWatch watch(io, node);
+  std::cout << "listening " << node.Addresses() << std::endl;
+  node.Start([&io] { asio::post(io, [&io] { io.stop(); }); });
+  io.run();
+  node.Stop();
+  return EXIT_SUCCESS;
+}
+
+int
+Main(int aCount, char** aArguments)
+{
+  cxxopts::Options options("jackdawwind", "Overload control node");
+  options.add_options()("settings",
+                        "YAML file with the node's settings",
+                        cxxopts::value<std::string>())("help", "Show this text");
+  std::string file;
+  try {
+    const cxxopts::ParseResult arguments = options.parse(aCount, aArguments);
+    if (arguments.count("help") > 0 || arguments.count("settings") == 0) {
+      std::cout << options.help();
+      return arguments.count("help") > 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    }
+    file = arguments["settings"].as<std::string>();
+  } catch (const cxxopts::OptionException& exception) {
+    std::cerr << exception.what() << '\n';
+    return EXIT_FAILURE;
+  }
+  const wire::Decoded<NodeSettings> settings = LoadSettings(file);
+  if (const wire::DecodeError* error = std::get_if<wire::DecodeError>(&settings)) {
+    const LogWriter log(LogLevel::kInfo, "");
+    log.Write(LogEvent::kSettingsRejected,
+              "path=" + error->path + " expected=\"" + error->expected + "\" found=\"" +
+                error->found + "\"");
+    return EXIT_FAILURE;
+  }
+  return RunNode(std::get<NodeSettings>(settings));
+}
+
+} // namespace
+
+} // namespace jackdawwind::node
+
+int
+main(int aCount, char** aArguments)
+{
+  return jackdawwind::node::Main(aCount, aArguments);
+}
--- /dev/null
+++ b/packages/node/metrics.h
@@ -0,0 +1,109 @@
+// Figures of the node's calls as Prometheus text.
+//
+//   Metrics metrics;
+//   metrics.Record(measured);
+//   std::string text = metrics.Text();
+//
+// Histograms of total latency and queue time per organisation, importance class and hop, by
+// Boost.Accumulators; counters per result code. Recording costs two look-ups. Memory is bounded:
+// after kMaxOrganisations further organisations count as "other". Not safe for more than one
+// thread.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <tuple>
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+
+#include "values/generated/calls.h"
+
+namespace jackdawwind::node {
+
+/// Upper bounds of the histogram buckets in seconds: 0.5 ms to 30 s.
+constexpr std::array<double, 15> kBucketSeconds{ 0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1,
+                                                 0.2,    0.5,   1.0,   2.0,   5.0,  10.0, 30.0 };
+
+/// Number of samples at or below each bound.
+using BucketCounts = std::array<std::uint64_t, kBucketSeconds.size()>;
+
+/// Accumulator of Boost.Accumulators that counts samples in fixed buckets; its own histogram
+/// chooses bounds from the first samples, which cannot be summed over nodes.
+struct BucketCountsImpl : boost::accumulators::accumulator_base
+{
+  using result_type = const BucketCounts&;
+
+  template<typename Arguments>
+  explicit BucketCountsImpl(const Arguments&)
+  {
+  }
+
+  template<typename Arguments>
+  void operator()(const Arguments& aArguments)
+  {
+    const double sample = aArguments[boost::accumulators::sample];
+    for (std::size_t index = 0; index < kBucketSeconds.size(); ++index) {
+      if (sample <= kBucketSeconds[index]) {
+        ++this->counts[index];
+      }
+    }
+  }
+
+  result_type result(boost::accumulators::dont_care /*aUnused*/) const { return this->counts; }
+
+private:
+  BucketCounts counts{};
+};
+
+struct BucketCountsTag : boost::accumulators::depends_on<>
+{
+  using impl = boost::mpl::always<BucketCountsImpl>;
+};
+
+class Metrics
+{
+public:
+  static constexpr std::size_t kMaxOrganisations = 64;
+
+  void Record(const CallMeasured& aMeasured);
+  /// Counts a request that was refused before an organisation was known.
+  void CountRefusal(ResultCode aCode);
+  /// Counts a dropped message; the new total of its ring.
+  std::uint64_t CountDrop(const std::string& aRing);
+  /// All figures in the Prometheus text format, version 0.0.4.
+  std::string Text() const;
+
+private:
+  using Histogram =
+    boost::accumulators::accumulator_set<double,
+                                         boost::accumulators::stats<BucketCountsTag,
+                                                                    boost::accumulators::tag::count,
+                                                                    boost::accumulators::tag::sum>>;
+
+  struct Times
+  {
+    Histogram total;
+    Histogram queued;
+  };
+
+  /// Organisation, importance class, whether at the entry node.
+  using Series = std::tuple<std::string, Importance, bool>;
+
+  std::string OrganisationLabel(const std::string& aOrganisation);
+  void AppendHistogram(std::string& aOut, const char* aName, Histogram Times::*aWhich) const;
+
+  std::set<std::string> organisations;
+  std::map<Series, Times> times;
+  std::map<ResultCode, std::uint64_t> results;
+  std::map<std::string, std::uint64_t> drops;
+  std::uint64_t retries = 0;
+};
+
+} // namespace jackdawwind::node
--- /dev/null
+++ b/packages/node/node_process.h
@@ -0,0 +1,68 @@
+// All threads of one node and the rings between them.
+//
+//   NodeProcess::Opened opened = NodeProcess::Open(settings);
+//   NodeProcess& node = *std::get<std::unique_ptr<NodeProcess>>(opened);
+//   node.Start([] { /* drained: stop may be called */ });
+//   node.RequestDrain();
+//   node.Stop();
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <variant>
+
+#include "decisions/node_core.h"
+#include "node/decision_loop.h"
+#include "node/peer_control.h"
+#include "node/proxy_io.h"
+#include "node/reporting.h"
+#include "platform/log_follower.h"
+#include "util/ring.h"
+#include "values/generated/settings.h"
+
+namespace jackdawwind::node {
+
+class NodeProcess
+{
+public:
+  using Opened = std::variant<std::unique_ptr<NodeProcess>, ListenError>;
+
+  /// Opens all listeners, so that their ports are known before the decisions start.
+  static Opened Open(const NodeSettings& aSettings);
+
+  explicit NodeProcess(NodeSettings aSettings);
+  ~NodeProcess();
+  NodeProcess(const NodeProcess&) = delete;
+  NodeProcess& operator=(const NodeProcess&) = delete;
+
+  /// Starts all threads; aDrained runs on the decisions thread when the process may exit.
+  void Start(std::function<void()> aDrained);
+  /// False when the ring of events is full; the caller tries again later.
+  bool RequestDrain();
+  /// Ends all threads, the decisions first and the reports last.
+  void Stop();
+  /// The listeners as key=value pairs.
+  std::string Addresses() const;
+
+private:
+  /// Events that may wait for the decisions; more than all calls in progress.
+  static constexpr std::size_t kEventRing = 16384;
+
+  EffectRoutes Routes(std::function<void()> aDrained);
+  template<typename Command>
+  void SubmitLog(const Command& aCommand);
+  void Append(const AppendLog& aCommand);
+
+  NodeSettings settings;
+  Ring<Event> events;
+  std::unique_ptr<Reporting> reporting;
+  std::unique_ptr<ProxyIo> proxy;
+  std::unique_ptr<PeerControl> peers;
+  std::unique_ptr<platform::LogFollower> follower;
+  std::unique_ptr<NodeCore> core;
+  std::unique_ptr<DecisionLoop<NodeCore>> loop;
+};
+
+} // namespace jackdawwind::node
--- /dev/null
+++ b/packages/node/peer_control.h
@@ -0,0 +1,101 @@
+// Thread of the control messages between nodes: sealed JSON-RPC notifications over HTTP.
+//
+//   PeerControl::Opened opened = PeerControl::Open(settings, events, report);
+//   PeerControl& control = *std::get<std::unique_ptr<PeerControl>>(opened);
+//   control.Start();
+//   control.Submit(SendPeer(...));      // never waits
+//
+// One-way: nobody waits for an answer to a message. Messages to one peer are sent one after the
+// other, at most kMaxQueued wait; further ones, and those that cannot be delivered, are dropped and
+// counted, since their senders repeat them. Messages without a valid seal are refused.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+#include <variant>
+
+#include "node/connection_pool.h"
+#include "node/listener.h"
+#include "node/outgoing_exchange.h"
+#include "node/report_item.h"
+#include "node/rpc_server.h"
+#include "node/server_connection.h"
+#include "util/ring.h"
+#include "values/generated/calls.h"
+#include "values/generated/settings.h"
+
+namespace jackdawwind::node {
+
+class PeerControl
+{
+public:
+  using Opened = std::variant<std::unique_ptr<PeerControl>, ListenError>;
+
+  /// Messages that wait for one peer; a few seconds of traffic in normal operation.
+  static constexpr std::size_t kMaxQueued = 64;
+
+  /// Opens the listener. aSettings and aEvents must outlive the result.
+  static Opened Open(const NodeSettings& aSettings, Ring<Event>& aEvents, ReportSink aReport);
+
+  PeerControl(const NodeSettings& aSettings, Ring<Event>& aEvents, ReportSink aReport);
+  ~PeerControl();
+  PeerControl(const PeerControl&) = delete;
+  PeerControl& operator=(const PeerControl&) = delete;
+
+  std::uint16_t Port() const { return this->listener->Port(); }
+  void Start();
+  /// Queues a message; drops and counts it when the ring is full.
+  void Submit(const SendPeer& aEffect);
+  void Stop();
+
+private:
+  static constexpr std::size_t kMessageRing = 1024;
+  /// A message that takes longer is given up; its sender repeats it.
+  static constexpr Duration kSendTimeout = std::chrono::milliseconds(500);
+  static constexpr Duration kSweepInterval = std::chrono::seconds(1);
+  /// Largest message: the configuration of a fleet of 470 nodes is well below it.
+  static constexpr std::uint32_t kMaxMessageBytes = 4U << 20U;
+  static constexpr std::uint64_t kMessageMemoryBytes = 32U << 20U;
+  static constexpr std::uint32_t kMaxHeaderBytes = 4096;
+  static constexpr std::size_t kMaxConnections = 4096;
+
+  struct Channel
+  {
+    std::deque<std::string> queue;
+    bool sending = false;
+  };
+
+  using Channels = std::map<Tcp::endpoint, Channel>;
+
+  void Accept(Tcp::socket aSocket);
+  void OnRequest(const ServerConnection::Pointer& aConnection, const HttpRequest& aRequest);
+  void OnMessage(PeerMessage aMessage);
+  void Enqueue(const SendPeer& aEffect);
+  void SendNext(Channels::iterator aChannel);
+  void OnSent(const Tcp::endpoint& aEndpoint, const OutgoingResult& aResult);
+  void Sweep();
+
+  const NodeSettings& settings;
+  Ring<Event>& events;
+  ReportSink report;
+  BodyBudget budget;
+  std::shared_ptr<std::size_t> connectionCount = std::make_shared<std::size_t>(0);
+  asio::io_context io;
+  ConnectionPool pool;
+  OutgoingNetwork network;
+  RpcConnector connector;
+  RpcServer server;
+  Channels channels;
+  ClockTimer sweepTimer;
+  std::unique_ptr<Listener> listener;
+  Ring<SendPeer> messages;
+  std::thread thread;
+};
+
+} // namespace jackdawwind::node
--- a/packages/node/proxy_io.cc
+++ b/packages/node/proxy_io.cc
@@ -21,7 +21,7 @@
 HttpResponse
 RejectCaller(const ReportSink& aReport, const Rejection& aRejection)
 {
-  ReportEvent(aReport, LogEvent::kCallRefused, aRejection.reason);
+  aReport(RefusedUnseen{ aRejection.code, aRejection.reason });
   return RefusalResponse(aRejection.code, RunState::kNotRun);
 }
 
@@ -176,7 +176,7 @@
   ServerConnection::Handlers handlers;
   handlers.gone = [this](std::uint64_t aExchange) { this->admittedCalls.OnGone(aExchange); };
   handlers.reject = [this](const Rejection& aRejection) {
-    ReportEvent(this->report, LogEvent::kCallRefused, aRejection.reason);
+    this->report(RefusedUnseen{ aRejection.code, aRejection.reason });
     return PeerRefusal(aRejection.code);
   };
   handlers.request = [this](const ServerConnection::Pointer& aConnection,
--- a/packages/node/report_item.h
+++ b/packages/node/report_item.h
@@ -11,16 +11,27 @@
 
 namespace jackdawwind::node {
 
-/// An element that did not fit into a ring.
+/// A message that was dropped.
 struct RingDropped
 {
-  /// Name of the ring, for example "events".
+  /// Where and why, for example "events" for a full ring of events.
   std::string ring;
 
   friend bool operator==(const RingDropped&, const RingDropped&) = default;
 };
 
-using ReportItem = std::variant<LogLine, CallMeasured, PhaseChanged, StatusReady, RingDropped>;
+/// A request that the I/O thread refused by itself, before the decisions knew of it.
+struct RefusedUnseen
+{
+  ResultCode code = ResultCode::kMalformedRequest;
+  /// Why, without any part of the request that could be a secret.
+  std::string reason;
+
+  friend bool operator==(const RefusedUnseen&, const RefusedUnseen&) = default;
+};
+
+using ReportItem =
+  std::variant<LogLine, CallMeasured, PhaseChanged, StatusReady, RingDropped, RefusedUnseen>;
 
 /// Takes a report without waiting; safe for every thread.
 using ReportSink = std::function<void(ReportItem)>;
--- /dev/null
+++ b/packages/node/reporting.cc
@@ -0,0 +1,250 @@
+#include "node/reporting.h"
+
+#include <bit>
+#include <string_view>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+#include "node/http_headers.h"
+#include "values/text.h"
+#include "wire/codec.h"
+#include "wire/crypto.h"
+#include "wire/generated/calls_codec.h"
+
+namespace jackdawwind::node {
+
+namespace {
+
+constexpr std::string_view kBearer = "Bearer ";
+
+HttpResponse
+TextResponse(http::status aStatus, std::string aText)
+{
+  HttpResponse response;
+  response.result(aStatus);
+  response.set(http::field::content_type, "text/plain; version=0.0.4");
+  response.body() = std::move(aText);
+  response.prepare_payload();
+  return response;
+}
+
+} // namespace
+
+Reporting::Opened
+Reporting::Open(const NodeSettings& aSettings, Ring<Event>& aEvents)
+{
+  std::unique_ptr<Reporting> reporting = std::make_unique<Reporting>(aSettings, aEvents);
+  Listener::Opened opened = Listener::Open(reporting->io, aSettings.Admin());
+  if (const ListenError* error = std::get_if<ListenError>(&opened)) {
+    return *error;
+  }
+  reporting->listener = std::get<std::unique_ptr<Listener>>(std::move(opened));
+  return reporting;
+}
+
+Reporting::Reporting(const NodeSettings& aSettings, Ring<Event>& aEvents)
+  : settings(aSettings)
+  , events(aEvents)
+  , log(aSettings.GetLogLevel(), aSettings.Node())
+  , budget(kBodyMemoryBytes)
+  , io(1)
+  , reports(kReportRing, [this] { asio::post(this->io, [this] { this->ApplyReports(); }); })
+{
+}
+
+Reporting::~Reporting()
+{
+  this->Stop();
+}
+
+void
+Reporting::Start()
+{
+  this->listener->Start([this](Tcp::socket aSocket) { this->Accept(std::move(aSocket)); });
+  this->thread = std::thread([this] { this->io.run(); });
+}
+
+void
+Reporting::Submit(ReportItem aItem)
+{
+  if (!this->reports.PushDroppingOldest(std::move(aItem)) && !this->reports.Closed()) {
+    // Takes the place of the next oldest report, which is counted by the same line.
+    this->reports.PushDroppingOldest(RingDropped{ "reports" });
+  }
+}
+
+void
+Reporting::Stop()
+{
+  this->reports.Close();
+  if (!this->thread.joinable()) {
+    return;
+  }
+  asio::post(this->io, [this] {
+    this->ApplyReports();
+    this->io.stop();
+  });
+  this->thread.join();
+}
+
+void
+Reporting::Accept(Tcp::socket aSocket)
+{
+  if (*this->connectionCount >= kMaxConnections) {
+    return;
+  }
+  ServerConnection::Handlers handlers;
+  handlers.gone = [this](std::uint64_t aTicket) { this->waiters.erase(aTicket); };
+  handlers.reject = [](const Rejection& aRejection) {
+    return RefusalResponse(aRejection.code, RunState::kNotRun);
+  };
+  handlers.request = [this](const ServerConnection::Pointer& aConnection,
+                            const HttpRequest& aRequest,
+                            const BodyReservation&) { this->OnRequest(aConnection, aRequest); };
+  const ServerConnection::Options options{ .maxHeaderBytes = kMaxHeaderBytes,
+                                           .maxBodyBytes = kMaxBodyBytes,
+                                           .interim = std::nullopt };
+  std::make_shared<ServerConnection>(
+    std::move(aSocket), this->io, this->budget, this->connectionCount, options, std::move(handlers))
+    ->Start();
+}
+
+void
+Reporting::OnRequest(const ServerConnection::Pointer& aConnection, const HttpRequest& aRequest)
+{
+  const beast::string_view target = aRequest.target();
+  const bool isGet = aRequest.method() == http::verb::get;
+  if (isGet && target == "/health") {
+    this->Answer(aConnection, TextResponse(http::status::ok, "alive\n"));
+  } else if (isGet && target == "/health/ready") {
+    const bool ready = this->phase == Phase::kServing;
+    this->Answer(aConnection,
+                 TextResponse(ready ? http::status::ok : http::status::service_unavailable,
+                              std::string(ToText(this->phase)) + "\n"));
+  } else if (isGet && target == "/metrics") {
+    this->Answer(aConnection, TextResponse(http::status::ok, this->metrics.Text()));
+  } else if ((isGet && target == "/status") ||
+             (aRequest.method() == http::verb::post && target == "/drain")) {
+    if (!this->IsAuthorised(aRequest)) {
+      this->Answer(aConnection, RefusalResponse(ResultCode::kUnauthorized, RunState::kNotRun));
+    } else if (isGet) {
+      this->OnStatus(aConnection);
+    } else {
+      this->OnDrain(aConnection);
+    }
+  } else {
+    this->Answer(aConnection, TextResponse(http::status::not_found, "not found\n"));
+  }
+}
+
+bool
+Reporting::IsAuthorised(const HttpRequest& aRequest) const
+{
+  const beast::string_view header = aRequest[http::field::authorization];
+  const std::string_view value(header.data(), header.size());
+  if (!value.starts_with(kBearer)) {
+    return false;
+  }
+  // Seals of equal length are compared in constant time, whatever the length of the token.
+  return wire::SealMatches(
+    "admin", this->settings.AdminToken(), wire::Seal("admin", value.substr(kBearer.size())));
+}
+
+void
+Reporting::OnStatus(const ServerConnection::Pointer& aConnection)
+{
+  const std::uint64_t ticket = ++this->lastTicket;
+  if (!this->events.TryPush(StatusRequested({ .ticket = ticket }))) {
+    this->Answer(aConnection, RefusalResponse(ResultCode::kNodeBusy, RunState::kNotRun));
+    return;
+  }
+  const std::shared_ptr<OperationTimer> timer = std::make_shared<OperationTimer>(this->io);
+  this->waiters[ticket] = StatusWaiter{ aConnection, timer };
+  timer->Arm(kStatusTimeout, [this, ticket, timer] {
+    const auto waiter = this->waiters.find(ticket);
+    if (waiter != this->waiters.end()) {
+      this->Answer(waiter->second.connection,
+                   RefusalResponse(ResultCode::kNodeBusy, RunState::kNotRun));
+      this->waiters.erase(ticket);
+    }
+  });
+  aConnection->Wait(ticket);
+}
+
+void
+Reporting::OnDrain(const ServerConnection::Pointer& aConnection)
+{
+  if (this->events.TryPush(DrainRequested())) {
+    this->Answer(aConnection, TextResponse(http::status::accepted, "draining\n"));
+  } else {
+    this->Answer(aConnection, RefusalResponse(ResultCode::kNodeBusy, RunState::kNotRun));
+  }
+}
+
+void
+Reporting::Answer(const ServerConnection::Pointer& aConnection, HttpResponse aResponse)
+{
+  aConnection->Respond(std::move(aResponse), BodyReservation(this->budget), AfterAnswer::kKeep);
+}
+
+void
+Reporting::ApplyReports()
+{
+  for (const ReportItem& item : this->reports.PopReady()) {
+    std::visit([this](const auto& aItem) { this->Apply(aItem); }, item);
+  }
+}
+
+void
+Reporting::Apply(const LogLine& aItem)
+{
+  this->log.Write(aItem.GetEvent(), aItem.Detail());
+}
+
+void
+Reporting::Apply(const CallMeasured& aItem)
+{
+  this->metrics.Record(aItem);
+}
+
+void
+Reporting::Apply(const PhaseChanged& aItem)
+{
+  this->phase = aItem.GetPhase();
+}
+
+void
+Reporting::Apply(const StatusReady& aItem)
+{
+  const auto waiter = this->waiters.find(aItem.Ticket());
+  if (waiter == this->waiters.end()) {
+    return;
+  }
+  HttpResponse response = TextResponse(http::status::ok, wire::EncodeText(aItem.Status()));
+  response.set(http::field::content_type, "application/json");
+  this->Answer(waiter->second.connection, std::move(response));
+  waiter->second.timer->Disarm();
+  this->waiters.erase(waiter);
+}
+
+void
+Reporting::Apply(const RingDropped& aItem)
+{
+  const std::uint64_t total = this->metrics.CountDrop(aItem.ring);
+  // Logged at every doubling, so that a long shortage does not flood the log.
+  if (std::has_single_bit(total)) {
+    this->log.Write(LogEvent::kRingFull, "ring=" + aItem.ring + " total=" + std::to_string(total));
+  }
+}
+
+void
+Reporting::Apply(const RefusedUnseen& aItem)
+{
+  this->metrics.CountRefusal(aItem.code);
+  this->log.Write(LogEvent::kCallRefused,
+                  "code=" + std::to_string(static_cast<unsigned>(aItem.code)) + " reason=\"" +
+                    aItem.reason + "\"");
+}
+
+} // namespace jackdawwind::node
--- /dev/null
+++ b/packages/node/rpc_server.cc
@@ -0,0 +1,69 @@
+#include "node/rpc_server.h"
+
+#include <exception>
+#include <utility>
+#include <variant>
+
+#include "wire/codec.h"
+#include "wire/generated/peer_codec.h"
+
+namespace jackdawwind::node {
+
+bool
+RpcConnector::SendResponse(const std::string& aResponse, void* /*aInfo*/)
+{
+  this->failed = !aResponse.empty();
+  return true;
+}
+
+bool
+RpcConnector::Receive(const std::string& aBody)
+{
+  this->failed = false;
+  try {
+    return this->OnRequest(aBody) && !this->failed;
+  } catch (const std::exception&) {
+    // jsoncpp throws on documents that nest too deeply.
+    return false;
+  }
+}
+
+RpcServer::RpcServer(RpcConnector& aConnector, Received aReceived, Invalid aInvalid)
+  : jsonrpc::AbstractServer<RpcServer>(aConnector)
+  , received(std::move(aReceived))
+  , invalid(std::move(aInvalid))
+{
+  this->Bind<Probe>();
+  this->Bind<ProbeAck>();
+  this->Bind<ProbeRequest>();
+  this->Bind<MemberSync>();
+  this->Bind<StewardReport>();
+  this->Bind<StewardGrant>();
+  this->Bind<ConfigWant>();
+  this->Bind<ConfigRelay>();
+}
+
+template<typename Message>
+void
+RpcServer::Bind()
+{
+  jsonrpc::Procedure procedure;
+  procedure.SetProcedureName(wire::MemberName<Message>::kText);
+  procedure.SetProcedureType(jsonrpc::RPC_NOTIFICATION);
+  procedure.SetParameterDeclarationType(jsonrpc::PARAMS_BY_NAME);
+  this->bindAndAddNotification(procedure, &RpcServer::OnMessage<Message>);
+}
+
+template<typename Message>
+void
+RpcServer::OnMessage(const Json::Value& aParameters)
+{
+  wire::Decoded<Message> decoded = wire::Decode<Message>(aParameters);
+  if (Message* message = std::get_if<Message>(&decoded)) {
+    this->received(std::move(*message));
+  } else {
+    this->invalid();
+  }
+}
+
+} // namespace jackdawwind::node
