--- /dev/null
+++ b/bench/rate_experiment.cc
@@ -0,0 +1,232 @@
+// Measures wrongful refusals of the rate limiter on the virtual network of its tests, and the bytes
+// of its control messages, as a Markdown table. A refusal is wrongful when the organisation's rate
+// and burst over the whole fleet had room for the call.
+//
+//   build/bin/rate_experiment
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <cstdio>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "decisions/tests/fake_rate_fleet.h"
+
+namespace jackdawwind {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr Duration kWarmUp = seconds(15);
+constexpr Duration kEnd = seconds(45);
+constexpr std::size_t kNodesPerDomain = 5;
+constexpr std::size_t kDomains = 4;
+constexpr std::size_t kSeeds = 5;
+constexpr double kPercent = 100;
+
+enum class Place
+{
+  kEverywhere,
+  kOneDomain,
+  kMovingDomain,
+};
+
+struct Demand
+{
+  const char* name;
+  Place place;
+  /// Demand as part of the organisation's rate.
+  double load;
+};
+
+struct Result
+{
+  double wrongful = 0;
+  double admitted = 0;
+  double bytes = 0;
+  double mostBytes = 0;
+};
+
+std::vector<Organisation>
+Organisations()
+{
+  return { Organisation({ .name = "long-burst", .rate = 100, .burst = 400 }),
+           Organisation({ .name = "second-burst", .rate = 200, .burst = 200 }),
+           Organisation({ .name = "short-burst", .rate = 300, .burst = 60 }),
+           Organisation({ .name = "slow", .rate = 5, .burst = 10 }) };
+}
+
+std::size_t
+NodeFor(FakeRateFleet& aFleet, Place aPlace, Duration aAt)
+{
+  constexpr double kConcentrated = 0.9;
+  Random& random = aFleet.GetRandom();
+  if (aPlace == Place::kEverywhere || random.Fraction() > kConcentrated) {
+    return random.Below(aFleet.Size());
+  }
+  constexpr Duration kStay = seconds(5);
+  const std::size_t step = aPlace == Place::kMovingDomain ? 1 : 0;
+  const std::size_t domain = step * static_cast<std::size_t>(aAt / kStay) % kDomains;
+  return domain * kNodesPerDomain + random.Below(kNodesPerDomain);
+}
+
+void
+AddDemand(FakeRateFleet& aFleet, const Organisation& aOrganisation, const Demand& aDemand)
+{
+  Duration at{};
+  while (at < kEnd) {
+    // Uniform gaps of mean 1 / demand.
+    const double gap = 2e6 * aFleet.GetRandom().Fraction() / (aOrganisation.Rate() * aDemand.load);
+    at += Duration(static_cast<Duration::rep>(gap));
+    const std::size_t node = NodeFor(aFleet, aDemand.place, at);
+    aFleet.At(at, [&aFleet, node, aOrganisation] { aFleet.Call(node, aOrganisation.Name()); });
+  }
+}
+
+/// Refused calls that a bucket of the whole fleet could have served beside the admitted ones.
+std::uint64_t
+Wrongful(FakeRateFleet& aFleet, const Organisation& aOrganisation)
+{
+  std::vector<std::pair<Duration, bool>> calls;
+  for (const Duration at : aFleet.Admissions(aOrganisation.Name())) {
+    calls.emplace_back(at, true);
+  }
+  for (const Duration at : aFleet.Refusals(aOrganisation.Name())) {
+    calls.emplace_back(at, false);
+  }
+  std::sort(calls.begin(), calls.end());
+  double level = aOrganisation.Burst();
+  Duration last{};
+  std::uint64_t wrongful = 0;
+  for (const std::pair<Duration, bool>& call : calls) {
+    const double elapsed = std::chrono::duration<double>(call.first - last).count();
+    level = std::min(aOrganisation.Burst(), level + aOrganisation.Rate() * elapsed);
+    last = call.first;
+    if (call.second) {
+      level = std::max(0.0, level - 1);
+    } else if (level >= 1) {
+      level -= 1;
+      wrongful += call.first >= kWarmUp ? 1U : 0U;
+    }
+  }
+  return wrongful;
+}
+
+std::uint64_t
+CountAfterWarmUp(const std::vector<Duration>& aTimes)
+{
+  return static_cast<std::uint64_t>(
+    std::count_if(aTimes.begin(), aTimes.end(), [](Duration aAt) { return aAt >= kWarmUp; }));
+}
+
+Result
+Run(std::uint64_t aSeed, const Demand& aDemand, bool aBorrow, bool aPrefetch)
+{
+  FakeRateFleet fleet({ .seed = aSeed,
+                        .domains = kDomains,
+                        .nodesPerDomain = kNodesPerDomain,
+                        .loss = 0.001,
+                        .prefetch = aPrefetch,
+                        .borrow = aBorrow });
+  fleet.Configure(fleet.Snapshot(Organisations()));
+  for (std::size_t node = 0; node < fleet.Size(); ++node) {
+    fleet.Start(node);
+  }
+  if (aDemand.load > 0) {
+    for (const Organisation& organisation : Organisations()) {
+      AddDemand(fleet, organisation, aDemand);
+    }
+  }
+  fleet.RunUntil(kWarmUp);
+  std::vector<std::uint64_t> before;
+  for (std::size_t node = 0; node < fleet.Size(); ++node) {
+    before.push_back(fleet.At(node).sentBytes);
+  }
+  fleet.RunUntil(kEnd);
+  Result result;
+  const double time = std::chrono::duration<double>(kEnd - kWarmUp).count();
+  for (std::size_t node = 0; node < fleet.Size(); ++node) {
+    const double perSecond = static_cast<double>(fleet.At(node).sentBytes - before[node]) / time;
+    result.bytes += perSecond / static_cast<double>(fleet.Size());
+    result.mostBytes = std::max(result.mostBytes, perSecond);
+  }
+  std::uint64_t admitted = 0;
+  std::uint64_t calls = 0;
+  std::uint64_t wrongful = 0;
+  for (const Organisation& organisation : Organisations()) {
+    admitted += CountAfterWarmUp(fleet.Admissions(organisation.Name()));
+    calls += CountAfterWarmUp(fleet.Refusals(organisation.Name()));
+    wrongful += Wrongful(fleet, organisation);
+  }
+  calls += admitted;
+  if (calls > 0) {
+    result.wrongful = kPercent * static_cast<double>(wrongful) / static_cast<double>(calls);
+    result.admitted = kPercent * static_cast<double>(admitted) / static_cast<double>(calls);
+  }
+  return result;
+}
+
+double
+Median(std::array<double, kSeeds> aValues)
+{
+  std::sort(aValues.begin(), aValues.end());
+  return aValues[kSeeds / 2];
+}
+
+void
+PrintRow(const Demand& aDemand, bool aBorrow, bool aPrefetch)
+{
+  std::array<double, kSeeds> wrongful{};
+  std::array<double, kSeeds> admitted{};
+  std::array<double, kSeeds> bytes{};
+  std::array<double, kSeeds> mostBytes{};
+  for (std::size_t index = 0; index < kSeeds; ++index) {
+    const Result result = Run(index + 1, aDemand, aBorrow, aPrefetch);
+    wrongful[index] = result.wrongful;
+    admitted[index] = result.admitted;
+    bytes[index] = result.bytes;
+    mostBytes[index] = result.mostBytes;
+  }
+  std::printf("| %s | %s | %s | %.2f | %.2f | %.0f | %.0f |\n",
+              aDemand.name,
+              aBorrow ? "on" : "off",
+              aPrefetch ? "on" : "off",
+              Median(wrongful),
+              Median(admitted),
+              Median(bytes),
+              Median(mostBytes));
+  std::fflush(stdout);
+}
+
+} // namespace
+} // namespace jackdawwind
+
+int
+main()
+{
+  using jackdawwind::Demand;
+  using jackdawwind::Place;
+  const Demand demands[] = {
+    { "none", Place::kEverywhere, 0 },
+    { "steady, 70% of the rate", Place::kEverywhere, 0.7 },
+    { "steady, 95% of the rate", Place::kEverywhere, 0.95 },
+    { "skewed, 70% of the rate", Place::kOneDomain, 0.7 },
+    { "skewed, 95% of the rate", Place::kOneDomain, 0.95 },
+    { "moving every 5 s, 70% of the rate", Place::kMovingDomain, 0.7 },
+    { "moving every 5 s, 95% of the rate", Place::kMovingDomain, 0.95 },
+    { "steady, 200% of the rate", Place::kEverywhere, 2 },
+  };
+  std::puts("| demand | borrowing | prefetching | wrongful refusals, % of calls | admitted, % | "
+            "control bytes sent per node and s | at the busiest node |");
+  std::puts("| --- | --- | --- | --- | --- | --- | --- |");
+  for (const Demand& demand : demands) {
+    for (const bool borrow : { false, true }) {
+      for (const bool prefetch : { false, true }) {
+        jackdawwind::PrintRow(demand, borrow, prefetch);
+      }
+    }
+  }
+  return 0;
+}
--- a/packages/decisions/tests/fake_rate_fleet.cc
+++ b/packages/decisions/tests/fake_rate_fleet.cc
@@ -17,9 +17,13 @@
 constexpr Duration kViewPeriod = std::chrono::seconds(1);
 /// Time until a member that cannot be reached counts as dead.
 constexpr Duration kDetection = std::chrono::seconds(5);
-/// HTTP and JSON-RPC around a control message.
+/// HTTP headers of request and empty response, and JSON-RPC around a control message.
 constexpr std::uint64_t kEnvelopeBytes = 250;
-constexpr std::uint64_t kItemBytes = 40;
+/// Fields of a report in JSON, most of them its sender's address.
+constexpr std::uint64_t kReportBytes = 280;
+constexpr std::uint64_t kGrantBytes = 130;
+/// One organisation in a report or grant.
+constexpr std::uint64_t kItemBytes = 45;
 
 Duration
 Fraction(Duration aLongest, double aFraction)
@@ -30,14 +34,13 @@
 std::uint64_t
 SizeOf(const PeerMessage& aMessage)
 {
-  std::uint64_t items = 0;
   if (const StewardReport* report = std::get_if<StewardReport>(&aMessage)) {
-    items = report->Demands().size();
-  } else if (const StewardGrant* grant = std::get_if<StewardGrant>(&aMessage)) {
-    items = grant->Grants().size();
+    return kEnvelopeBytes + kReportBytes + report->Demands().size() * kItemBytes;
   }
-  constexpr std::uint64_t kFieldBytes = 150;
-  return kEnvelopeBytes + kFieldBytes + items * kItemBytes;
+  if (const StewardGrant* grant = std::get_if<StewardGrant>(&aMessage)) {
+    return kEnvelopeBytes + kGrantBytes + grant->Grants().size() * kItemBytes;
+  }
+  return kEnvelopeBytes;
 }
 
 } // namespace
@@ -324,9 +327,8 @@
   if (to == this->byId.end()) {
     throw std::logic_error("message to an unknown node " + aSend.To().Node());
   }
-  ++this->messages;
-  this->bytes += SizeOf(aSend.Message());
-  const Node& sender = this->nodes[aFrom];
+  Node& sender = this->nodes[aFrom];
+  sender.sentBytes += SizeOf(aSend.Message());
   const Node& receiver = this->nodes[to->second];
   std::size_t copies = this->random.Fraction() < this->settings.duplicates ? 2 : 1;
   for (; copies > 0; --copies) {
--- a/packages/decisions/tests/fake_rate_fleet.h
+++ b/packages/decisions/tests/fake_rate_fleet.h
@@ -64,6 +64,8 @@
     Duration pausedUntil{};
     Duration downSince{};
     std::uint64_t wakes = 0;
+    /// Messages sent, in bytes: an estimate of their texts with HTTP and JSON-RPC around them.
+    std::uint64_t sentBytes = 0;
     std::vector<std::function<void()>> held;
     std::map<std::uint64_t, std::pair<std::string, Duration>> calls;
   };
@@ -103,9 +105,6 @@
   const std::vector<Duration>& Admissions(const std::string& aOrganisation);
   const std::vector<Duration>& Refusals(const std::string& aOrganisation);
   Tally GetTally(const std::string& aOrganisation) const;
-  std::uint64_t Messages() const { return this->messages; }
-  /// Reports and grants in bytes, by the length of their texts and a fixed part per message.
-  std::uint64_t Bytes() const { return this->bytes; }
 
 private:
   Time LocalTime(const Node& aNode) const;
@@ -129,8 +128,6 @@
   std::set<std::pair<std::string, std::string>> cuts;
   ConfigSnapshot snapshot;
   std::uint64_t exchanges = 0;
-  std::uint64_t messages = 0;
-  std::uint64_t bytes = 0;
   std::map<std::string, std::vector<Duration>> admissions;
   std::map<std::string, std::vector<Duration>> refusals;
   std::map<std::string, Tally> tallies;
