Do not back off from a steward or lender that gave something

Cause: a grant below the wish doubled the pause up to 400 ms, in which the lender's bucket overflowed. Now only an empty grant doubles it.

--- a/bench/rate_experiment.cc
+++ b/bench/rate_experiment.cc
@@ -2,7 +2,8 @@
 // of its control messages, as a Markdown table. A refusal is wrongful when the organisation's rate
 // and burst over the whole fleet had room for the call.
 //
-//   build/bin/rate_experiment
+//   build/bin/rate_experiment          # all settings
+//   build/bin/rate_experiment brief    # borrowing and prefetching on
 #include <algorithm>
 #include <array>
 #include <chrono>
@@ -105,7 +106,8 @@
     level = std::min(aOrganisation.Burst(), level + aOrganisation.Rate() * elapsed);
     last = call.first;
     if (call.second) {
-      level = std::max(0.0, level - 1);
+      // May become negative: the token went to a call refused before.
+      level -= 1;
     } else if (level >= 1) {
       level -= 1;
       wrongful += call.first >= kWarmUp ? 1U : 0U;
@@ -204,8 +206,10 @@
 } // namespace jackdawwind
 
 int
-main()
+main(int aCount, char** aArguments)
 {
+  // With any argument only the settings of the product: borrowing and prefetching on.
+  const bool brief = aCount > 1 && aArguments != nullptr;
   using jackdawwind::Demand;
   using jackdawwind::Place;
   const Demand demands[] = {
@@ -224,6 +228,9 @@
   for (const Demand& demand : demands) {
     for (const bool borrow : { false, true }) {
       for (const bool prefetch : { false, true }) {
+        if (brief && !(borrow && prefetch)) {
+          continue;
+        }
         jackdawwind::PrintRow(demand, borrow, prefetch);
       }
     }
--- a/packages/decisions/rate/borrowing.cc
+++ b/packages/decisions/rate/borrowing.cc
@@ -217,9 +217,13 @@
       granted += grant.GetOrganisation() == demand.GetOrganisation() ? grant.Tokens() : 0;
     }
     Pause& pause = aLender.organisations[demand.GetOrganisation()];
-    pause.backoff = granted >= demand.Want()
-                      ? Duration::zero()
-                      : std::clamp(pause.backoff * 2, kFirstBackoff, kLongestBackoff);
+    if (granted >= demand.Want()) {
+      pause.backoff = Duration::zero();
+    } else if (granted > 0) {
+      pause.backoff = kFirstBackoff;
+    } else {
+      pause.backoff = std::clamp(pause.backoff * 2, kFirstBackoff, kLongestBackoff);
+    }
     pause.nextAsk = aNow + pause.backoff;
   }
 }
--- a/packages/decisions/rate/token_purse.cc
+++ b/packages/decisions/rate/token_purse.cc
@@ -167,6 +167,8 @@
   }
   if (granted >= aDemand.Want()) {
     account.backoff = Duration::zero();
+  } else if (granted > 0) {
+    account.backoff = kFirstBackoff;
   } else {
     account.backoff = std::clamp(account.backoff * 2, kFirstBackoff, kLongestBackoff);
   }
