--- a/packages/decisions/membership/membership.cc
+++ b/packages/decisions/membership/membership.cc
@@ -53,7 +53,7 @@
 bool
 IsUrgent(const TableChange& aChange)
 {
-  return aChange.before && (aChange.before->State() != aChange.after.State() ||
+  return !aChange.before || (aChange.before->State() != aChange.after.State() ||
                             aChange.before->GetTargetState() != aChange.after.GetTargetState() ||
                             aChange.before->Incarnation() != aChange.after.Incarnation());
 }
