Count the suspicion timeout at every node; test merge rules

A claimed death became a suspicion, and the second copy of the same claim then a death, found by merging each record twice. Seed 15 of the new test still shows a node that declares its own side dead after a partition heals.

--- a/packages/decisions/membership/member_table.cc
+++ b/packages/decisions/membership/member_table.cc
@@ -107,9 +107,10 @@
     return this->Put(aMember);
   }
   const bool sameProcess = aMember.Incarnation() == known->Incarnation();
-  const bool surprisingDeath =
-    sameProcess && aMember.State() == NodeState::kDead && known->State() == NodeState::kAlive;
-  const Member taken = surprisingDeath ? WithState(aMember, NodeState::kSuspect) : aMember;
+  const bool believedLive =
+    known->State() == NodeState::kAlive || known->State() == NodeState::kSuspect;
+  const bool claimedDeath = sameProcess && believedLive && aMember.State() == NodeState::kDead;
+  const Member taken = claimedDeath ? WithState(aMember, NodeState::kSuspect) : aMember;
   if (!Supersedes(taken, *known)) {
     return std::nullopt;
   }
--- a/packages/decisions/membership/member_table.h
+++ b/packages/decisions/membership/member_table.h
@@ -36,8 +36,9 @@
 {
 public:
   /// Takes a record from another node; no change when the table already knows as much. The death of
-  /// a node that is alive here is taken as a suspicion only: after a partition heals, the two sides
-  /// hold each other for dead, and a side must not adopt that about its own live nodes.
+  /// a node that is alive or suspect here is taken as a suspicion, whose timeout each node counts
+  /// by itself: after a partition heals, the two sides hold each other for dead, and a side must
+  /// not adopt that about its own live nodes.
   std::optional<TableChange> Merge(const Member& aMember);
   /// Replaces a record without asking for its age.
   TableChange Put(const Member& aMember);
--- a/packages/decisions/membership/membership.cc
+++ b/packages/decisions/membership/membership.cc
@@ -48,14 +48,20 @@
 /// Sequence of a push, which nothing waits for.
 constexpr std::uint64_t kPushSequence = 0;
 
-/// Changes that must be known at once: who takes work, who leaves, dies or is suspected (so that it
-/// can refute in time), and that a suspicion was wrong. New nodes can wait for the probes.
+/// Changes that must be known at once: who joins, takes work, leaves or is suspected (so that it can
+/// refute in time), and that a suspicion was wrong. A death is not: every node counts the suspicion
+/// timeout by itself.
 bool
 IsUrgent(const TableChange& aChange)
 {
-  return !aChange.before || (aChange.before->State() != aChange.after.State() ||
-                            aChange.before->GetTargetState() != aChange.after.GetTargetState() ||
-                            aChange.before->Incarnation() != aChange.after.Incarnation());
+  if (!aChange.before) {
+    return true;
+  }
+  const Member& before = *aChange.before;
+  const Member& after = aChange.after;
+  const bool stateChanged = before.State() != after.State() && after.State() != NodeState::kDead;
+  return stateChanged || before.GetTargetState() != after.GetTargetState() ||
+         before.Incarnation() != after.Incarnation();
 }
 
 bool
--- a/packages/decisions/tests/membership_fleet_test.cc
+++ b/packages/decisions/tests/membership_fleet_test.cc
@@ -231,6 +231,25 @@
   }
 }
 
+TEST(MembershipFleet, AfterAPartitionHealsNobodyDeclaresItsOwnSideDead)
+{
+  for (const std::uint64_t seed : Seeds()) {
+    SCOPED_TRACE("JACKDAW_SEED=" + std::to_string(seed));
+    Fleet fleet({ .seed = seed, .loss = 0.02 });
+    StartFleet(fleet, kNodes);
+    fleet.Run(seconds(60));
+    PartitionRegion(fleet);
+    fleet.Run(seconds(60));
+    EXPECT_EQ(Disagreement(fleet), "");
+    const std::map<std::string, Member>& members = fleet.At(Name(0)).Members();
+    for (const Fleet::Line& line : fleet.LinesOf(LogEvent::kMemberDied)) {
+      const std::string subject = line.line.Detail().substr(0, line.line.Detail().find(' '));
+      EXPECT_NE(members.at(line.node).Region(), members.at(subject).Region())
+        << line.node << ": " << line.line;
+    }
+  }
+}
+
 TEST(MembershipFleet, ACrashedNodeIsDeadEverywhereAndThenForgotten)
 {
   for (const std::uint64_t seed : Seeds()) {
