Ask a node that others hold for dead instead of suspecting it

A claim about a node that is alive here now only makes this node probe it with the claim. Raising the push rate was ruled out: calls avoid suspects, so a side must not suspect its own live nodes at all.

--- a/packages/decisions/membership/member_table.cc
+++ b/packages/decisions/membership/member_table.cc
@@ -106,15 +106,19 @@
     }
     return this->Put(aMember);
   }
-  const bool sameProcess = aMember.Incarnation() == known->Incarnation();
-  const bool believedLive =
-    known->State() == NodeState::kAlive || known->State() == NodeState::kSuspect;
-  const bool claimedDeath = sameProcess && believedLive && aMember.State() == NodeState::kDead;
-  const Member taken = claimedDeath ? WithState(aMember, NodeState::kSuspect) : aMember;
-  if (!Supersedes(taken, *known)) {
+  if (this->IsDoubtfulDeath(aMember) || !Supersedes(aMember, *known)) {
     return std::nullopt;
   }
-  return this->Put(taken);
+  return this->Put(aMember);
+}
+
+bool
+MemberTable::IsDoubtfulDeath(const Member& aMember) const
+{
+  const Member* known = this->Find(aMember.Address().Node());
+  return known != nullptr && aMember.State() == NodeState::kDead &&
+         aMember.Incarnation() == known->Incarnation() && Supersedes(aMember, *known) &&
+         (known->State() == NodeState::kAlive || known->State() == NodeState::kSuspect);
 }
 
 TableChange
--- a/packages/decisions/membership/member_table.h
+++ b/packages/decisions/membership/member_table.h
@@ -35,11 +35,13 @@
 class MemberTable
 {
 public:
-  /// Takes a record from another node; no change when the table already knows as much. The death of
-  /// a node that is alive or suspect here is taken as a suspicion, whose timeout each node counts
-  /// by itself: after a partition heals, the two sides hold each other for dead, and a side must
-  /// not adopt that about its own live nodes.
+  /// Takes a record from another node; no change when the table already knows as much or when it is
+  /// a doubtful death.
   std::optional<TableChange> Merge(const Member& aMember);
+  /// Whether aMember says that a process is dead that is alive or suspect here. After a partition
+  /// heals, the two sides hold each other for dead; a side must not adopt that about its own live
+  /// nodes, not even as a suspicion, because calls avoid suspects. The own probes decide.
+  bool IsDoubtfulDeath(const Member& aMember) const;
   /// Replaces a record without asking for its age.
   TableChange Put(const Member& aMember);
   /// Removes a dead node; older records of it stay ignored until aUntil.
--- a/packages/decisions/membership/membership.cc
+++ b/packages/decisions/membership/membership.cc
@@ -39,6 +39,9 @@
 constexpr Duration kSyncInterval = std::chrono::seconds(5);
 constexpr std::uint32_t kDifferingBeforeSync = 2;
 
+/// Live nodes told per period that others hold them for dead, besides the one that is probed.
+constexpr std::size_t kDoubtsTold = 5;
+
 /// Contacts tried per period while no other node is known.
 constexpr std::size_t kJoinContacts = 3;
 
@@ -48,9 +51,9 @@
 /// Sequence of a push, which nothing waits for.
 constexpr std::uint64_t kPushSequence = 0;
 
-/// Changes that must be known at once: who joins, takes work, leaves or is suspected (so that it can
-/// refute in time), and that a suspicion was wrong. A death is not: every node counts the suspicion
-/// timeout by itself.
+/// Changes that must be known at once: who joins, takes work, leaves or is suspected (so that it
+/// can refute in time), and that a suspicion was wrong. A death is not: every node counts the
+/// suspicion timeout by itself.
 bool
 IsUrgent(const TableChange& aChange)
 {
@@ -284,6 +287,10 @@
       this->MergeSelf(member, aNow, aEffects);
       continue;
     }
+    if (this->table.IsDoubtfulDeath(member)) {
+      this->doubts.insert_or_assign(member.Address().Node(), member);
+      continue;
+    }
     const std::optional<TableChange> change = this->table.Merge(member);
     if (change) {
       this->Follow(*change, false, aNow, aEffects);
@@ -315,6 +322,7 @@
     this->SchedulePush(node, aOwnFinding, aNow);
   }
   this->forgetAt.erase(node);
+  this->doubts.erase(node);
   switch (aChange.after.State()) {
     case NodeState::kAlive:
       this->detector.Clear(node);
@@ -388,6 +396,10 @@
     chosen.insert(node);
   }
   std::vector<Member> changes;
+  const std::map<std::string, Member>::const_iterator doubt = this->doubts.find(aNode);
+  if (doubt != this->doubts.end()) {
+    changes.push_back(doubt->second);
+  }
   for (const std::string& node : chosen) {
     if (const Member* member = this->table.Find(node)) {
       changes.push_back(*member);
@@ -469,13 +481,16 @@
 {
   this->nextPeriod = aNow + this->options.period;
   this->table.DropForgotten(aNow);
-  const std::optional<std::string> subject = this->ring.Next(this->table, this->random);
+  const std::optional<std::string> doubtful = this->TellDoubts(aEffects);
+  const std::optional<std::string> subject =
+    doubtful ? doubtful : this->ring.Next(this->table, this->random);
   if (!subject) {
     this->LookForOthers(aEffects, aNow);
     return;
   }
   const std::uint64_t sequence = this->detector.Begin(*subject, aNow);
   this->SendProbe(this->table.Find(*subject)->Address(), sequence, "", false, aEffects);
+  this->doubts.erase(*subject);
   // Together the live nodes try each missing address about once in two periods.
   const double wanted = static_cast<double>(this->contacts.MissingCount()) /
                         static_cast<double>(this->table.LiveCount());
@@ -486,6 +501,21 @@
   }
 }
 
+std::optional<std::string>
+Membership::TellDoubts(Effects& aEffects)
+{
+  for (std::size_t told = 0; told<kDoubtsTold&& this->doubts.size()> 1; ++told) {
+    const std::string node = this->doubts.begin()->first;
+    this->SendProbe(
+      this->table.Find(node)->Address(), this->detector.NextSequence(), "", false, aEffects);
+    this->doubts.erase(node);
+  }
+  if (this->doubts.empty()) {
+    return std::nullopt;
+  }
+  return this->doubts.begin()->first;
+}
+
 void
 Membership::LookForOthers(Effects& aEffects, Time aNow)
 {
@@ -562,6 +592,7 @@
   for (const std::string& node : forgotten) {
     this->forgetAt.erase(node);
     this->queue.Remove(node);
+    this->doubts.erase(node);
     this->table.Forget(node, aNow + kIgnoreForgotten);
   }
 }
--- a/packages/decisions/membership/membership.h
+++ b/packages/decisions/membership/membership.h
@@ -105,6 +105,8 @@
                    Effects& aEffects);
 
   void BeginPeriod(Time aNow, Effects& aEffects);
+  /// Tells some nodes that others hold them for dead; returns one to probe.
+  std::optional<std::string> TellDoubts(Effects& aEffects);
   void LookForOthers(Effects& aEffects, Time aNow);
   void CheckProbe(Time aNow, Effects& aEffects);
   void RemoveExpired(Time aNow, Effects& aEffects);
@@ -134,6 +136,8 @@
   Time lastPush{};
   /// Dead nodes and when to forget them.
   std::map<std::string, Time> forgetAt;
+  /// Nodes that are alive here and dead elsewhere, with the claim that they have to refute.
+  std::map<std::string, Member> doubts;
   /// Number of differing hashes in a row by peer.
   std::map<std::string, std::uint32_t> differing;
 };
