--- a/packages/platform/tests/log_follower_test.cc
+++ b/packages/platform/tests/log_follower_test.cc
@@ -160,7 +160,7 @@
 
 TEST_F(LogFollowerTest, HalvesTheBatchWhenAnAnswerIsTooLarge)
 {
-  constexpr std::size_t kRecordBytes = 1024 * 1024;
+  constexpr std::size_t kRecordBytes = std::size_t{ 1 } << 20U;
   constexpr std::size_t kRecords = 12;
   static_assert(kRecordBytes * kRecords > kMaxReadBytes);
   this->service.Call([](LogService& aService) {
--- a/packages/wire/yaml.cc
+++ b/packages/wire/yaml.cc
@@ -196,7 +196,8 @@
         break;
       }
       const std::string key = entry->first.Scalar();
-      const std::string path = aPath.empty() ? key : aPath + "." + key;
+      std::string path = aPath;
+      path.append(aPath.empty() ? "" : ".").append(key);
       if (out.isMember(key)) {
         this->Fail(entry->first, path, "each field once", "a second one");
         break;
