--- a/packages/operator/command_line.cc
+++ b/packages/operator/command_line.cc
@@ -215,6 +215,7 @@
   cxxopts::Options options("jackdawctl " + name);
   AddOptions(options, name);
   std::vector<const char*> arguments;
+  arguments.reserve(aArguments.size());
   for (const std::string& argument : aArguments) {
     arguments.push_back(argument.c_str());
   }
--- a/packages/platform/tests/log_client_test.cc
+++ b/packages/platform/tests/log_client_test.cc
@@ -118,5 +118,81 @@
   }
 }
 
+TEST(LogClient, TakesOnlyProofForRejection)
+{
+  struct Case
+  {
+    const char* name;
+    HttpOutcome outcome;
+    AppendOutcome expected;
+  };
+  const Case cases[] = {
+    { "no connection", HttpNotSent({ .reason = "refused" }), AppendRejected() },
+    { "no answer", HttpNoAnswer({ .reason = "reset" }), AppendUnknown() },
+    { "too large", HttpTooLarge({ .limit = 1 }), AppendUnknown() },
+    { "taken",
+      HttpAnswer({ .status = 200, .body = R"({"first_offset":18446744073709551615})" }),
+      Appended({ .firstOffset = 18446744073709551615ULL }) },
+    { "no offset", HttpAnswer({ .status = 200, .body = "{}" }), AppendUnknown() },
+    { "no JSON", HttpAnswer({ .status = 201, .body = "taken" }), AppendUnknown() },
+    { "redirect", HttpAnswer({ .status = 307 }), AppendUnknown() },
+    { "bad request", HttpAnswer({ .status = 400 }), AppendRejected() },
+    { "request timeout", HttpAnswer({ .status = 408 }), AppendUnknown() },
+    { "internal error", HttpAnswer({ .status = 500 }), AppendUnknown() },
+    { "unavailable", HttpAnswer({ .status = 503 }), AppendRejected() },
+    { "gateway timeout", HttpAnswer({ .status = 504 }), AppendUnknown() },
+  };
+  for (const Case& testCase : cases) {
+    SCOPED_TRACE(testCase.name);
+    EXPECT_EQ(DecodeAppendOutcome(testCase.outcome), testCase.expected);
+  }
+}
+
+TEST(LogClient, RefusesAnswersThatCannotBeTrusted)
+{
+  const char* const cases[] = {
+    "",
+    "[]",
+    R"({"first_retained":0,"end":1})",
+    R"({"first_retained":-1,"end":1,"records":[]})",
+    R"({"first_retained":0,"end":"1","records":[]})",
+    R"({"first_retained":0,"end":1,"records":[7]})",
+    R"({"first_retained":0,"end":1,"records":[{"record":{}}]})",
+    R"({"first_retained":0,"end":1,"records":[{"offset":1,"record":{}}]})",
+    R"({"first_retained":0,"end":9,"records":[{"offset":4,"record":{}}]})",
+    R"({"first_retained":0,"end":9,"records":[{"offset":6,"record":{}},{"offset":6,"record":{}}]})",
+  };
+  const LogReadRequest request{ .stream = "s", .from = 5 };
+  for (const char* body : cases) {
+    SCOPED_TRACE(body);
+    const LogReadResult result =
+      DecodeReadOutcome(request, HttpAnswer({ .status = 200, .body = body }));
+    EXPECT_TRUE(std::holds_alternative<LogReadError>(result));
+  }
+}
+
+TEST(LogClient, RejectsWhatItMustNotSend)
+{
+  LogServiceThread service;
+  struct Case
+  {
+    const char* stream;
+    std::size_t bytes;
+  };
+  const Case cases[] = { { "s", kMaxAppendBytes }, { "s/../../faults", 1 }, { "", 1 } };
+  for (const Case& testCase : cases) {
+    SCOPED_TRACE(testCase.stream);
+    boost::asio::io_context context;
+    LogClient client(context, SettingsFor(service.Port()));
+    std::optional<AppendOutcome> outcome;
+    client.Append(testCase.stream,
+                  { CorruptRecord({ .reason = std::string(testCase.bytes, 'x') }) },
+                  [&outcome](AppendOutcome aOutcome) { outcome = aOutcome; });
+    context.run();
+    EXPECT_EQ(outcome, AppendOutcome(AppendRejected()));
+  }
+  EXPECT_EQ(service.Call([](LogService& aService) { return aService.Requests(); }), 0U);
+}
+
 } // namespace
 } // namespace jackdawwind::platform
