--- a/packages/node/peer_control.cc
+++ b/packages/node/peer_control.cc
@@ -17,19 +17,14 @@
 
 constexpr const char* kControlPath = "/control";
 
-std::string
-NotificationText(const PeerMessage& aMessage)
+struct NotificationVisitor
 {
-  struct Visitor
+  template<typename Message>
+  std::string operator()(const Message& aMessage) const
   {
-    template<typename Message>
-    std::string operator()(const Message& aOne) const
-    {
-      return BuildNotification(wire::MemberName<Message>::kText, wire::Encode(aOne));
-    }
-  };
-  return std::visit(Visitor{}, aMessage);
-}
+    return BuildNotification(wire::MemberName<Message>::kText, wire::Encode(aMessage));
+  }
+};
 
 } // namespace
 
@@ -160,7 +155,7 @@
 {
   ErrorCode error;
   const asio::ip::address address = asio::ip::make_address(aEffect.To().Host(), error);
-  std::string text = NotificationText(aEffect.Message());
+  std::string text = std::visit(NotificationVisitor{}, aEffect.Message());
   if (error || text.empty()) {
     this->report(RingDropped{ "peer_unsendable" });
     return;
