--- a/packages/node/admitted_calls.cc
+++ b/packages/node/admitted_exchanges.cc
@@ -1,4 +1,4 @@
-#include "node/admitted_calls.h"
+#include "node/admitted_exchanges.h"
 
 #include <algorithm>
 #include <chrono>
@@ -47,9 +47,9 @@
 }
 
 void
-AdmittedCalls::Arrive(const ServerConnection::Pointer& aConnection,
-                      HttpRequest aRequest,
-                      BodyReservation aReservation)
+AdmittedExchanges::Arrive(const ServerConnection::Pointer& aConnection,
+                          HttpRequest aRequest,
+                          BodyReservation aReservation)
 {
   BodyBudget& budget = this->context.network.budget;
   const std::optional<CallContext> callContext =
@@ -87,7 +87,7 @@
 }
 
 void
-AdmittedCalls::OnGone(std::uint64_t aExchange)
+AdmittedExchanges::OnGone(std::uint64_t aExchange)
 {
   const auto found = this->calls.find(aExchange);
   if (found == this->calls.end()) {
@@ -99,7 +99,7 @@
 }
 
 void
-AdmittedCalls::Apply(const Dispatch& aEffect)
+AdmittedExchanges::Apply(const Dispatch& aEffect)
 {
   const std::uint64_t exchange = aEffect.Exchange();
   const auto found = this->calls.find(exchange);
@@ -132,7 +132,7 @@
 }
 
 void
-AdmittedCalls::OnTargetDone(std::uint64_t aExchange, OutgoingResult aResult)
+AdmittedExchanges::OnTargetDone(std::uint64_t aExchange, OutgoingResult aResult)
 {
   const auto found = this->calls.find(aExchange);
   if (found == this->calls.end()) {
@@ -158,14 +158,14 @@
 }
 
 void
-AdmittedCalls::DeliverEnd(std::uint64_t aExchange, TargetOutcome aOutcome)
+AdmittedExchanges::DeliverEnd(std::uint64_t aExchange, TargetOutcome aOutcome)
 {
   this->context.events.Deliver(
     TargetEnded({ .exchange = aExchange, .outcome = std::move(aOutcome) }));
 }
 
 void
-AdmittedCalls::Apply(const Complete& aEffect)
+AdmittedExchanges::Apply(const Complete& aEffect)
 {
   const auto found = this->calls.find(aEffect.Exchange());
   if (found == this->calls.end()) {
@@ -187,7 +187,7 @@
 }
 
 void
-AdmittedCalls::Apply(const CancelDispatch& aEffect)
+AdmittedExchanges::Apply(const CancelDispatch& aEffect)
 {
   const auto found = this->calls.find(aEffect.Exchange());
   if (found == this->calls.end()) {
@@ -201,7 +201,7 @@
 }
 
 bool
-AdmittedCalls::TryRefuse(const Refuse& aEffect)
+AdmittedExchanges::TryRefuse(const Refuse& aEffect)
 {
   const auto found = this->calls.find(aEffect.Exchange());
   if (found == this->calls.end()) {
@@ -223,7 +223,7 @@
 }
 
 void
-AdmittedCalls::EraseWhenIdle(Calls::iterator aCall)
+AdmittedExchanges::EraseWhenIdle(Calls::iterator aCall)
 {
   if (!aCall->second.connection && !aCall->second.running) {
     this->Erase(aCall);
@@ -231,7 +231,7 @@
 }
 
 void
-AdmittedCalls::Erase(Calls::iterator aCall)
+AdmittedExchanges::Erase(Calls::iterator aCall)
 {
   if (aCall->second.running) {
     aCall->second.running->Cancel();
--- a/packages/node/admitted_calls.h
+++ b/packages/node/admitted_exchanges.h
@@ -17,10 +17,10 @@
 
 namespace jackdawwind::node {
 
-class AdmittedCalls
+class AdmittedExchanges
 {
 public:
-  explicit AdmittedCalls(ProxyContext& aContext)
+  explicit AdmittedExchanges(ProxyContext& aContext)
     : context(aContext)
   {
   }
--- a/packages/node/entry_calls.cc
+++ b/packages/node/entry_exchanges.cc
@@ -1,4 +1,4 @@
-#include "node/entry_calls.h"
+#include "node/entry_exchanges.h"
 
 #include <utility>
 #include <variant>
@@ -11,10 +11,10 @@
 namespace jackdawwind::node {
 
 void
-EntryCalls::Arrive(const ServerConnection::Pointer& aConnection,
-                   ListenerKind aListener,
-                   HttpRequest aRequest,
-                   BodyReservation aReservation)
+EntryExchanges::Arrive(const ServerConnection::Pointer& aConnection,
+                       ListenerKind aListener,
+                       HttpRequest aRequest,
+                       BodyReservation aReservation)
 {
   const std::uint64_t exchange = ++this->context.lastExchange;
   const std::variant<CallerCall, Rejection> read = ReadCallerCall(aRequest, aListener, exchange);
@@ -47,7 +47,7 @@
 }
 
 void
-EntryCalls::OnGone(std::uint64_t aExchange)
+EntryExchanges::OnGone(std::uint64_t aExchange)
 {
   const auto found = this->calls.find(aExchange);
   if (found == this->calls.end()) {
@@ -59,7 +59,7 @@
 }
 
 void
-EntryCalls::Apply(const Forward& aEffect)
+EntryExchanges::Apply(const Forward& aEffect)
 {
   const std::uint64_t exchange = aEffect.Exchange();
   const std::uint32_t number = aEffect.Context().Attempt();
@@ -90,10 +90,10 @@
 }
 
 void
-EntryCalls::OnAttemptDone(std::uint64_t aExchange,
-                          std::uint32_t aAttempt,
-                          const std::string& aPeer,
-                          OutgoingResult aResult)
+EntryExchanges::OnAttemptDone(std::uint64_t aExchange,
+                              std::uint32_t aAttempt,
+                              const std::string& aPeer,
+                              OutgoingResult aResult)
 {
   const auto found = this->calls.find(aExchange);
   if (found == this->calls.end()) {
@@ -117,7 +117,7 @@
     }
     AttemptOutcome operator()(const OutOfTime&) const { return TimedOut(); }
 
-    EntryCalls& self;
+    EntryExchanges& self;
     Attempt& attempt;
     const std::string& peer;
   };
@@ -127,7 +127,7 @@
 }
 
 AttemptOutcome
-EntryCalls::Keep(Attempt& aAttempt, WholeAnswer aAnswer)
+EntryExchanges::Keep(Attempt& aAttempt, WholeAnswer aAnswer)
 {
   const std::optional<PeerResult> result = ReadPeerResult(aAnswer.response);
   if (!result) {
@@ -143,14 +143,14 @@
 }
 
 void
-EntryCalls::DeliverEnd(std::uint64_t aExchange, std::uint32_t aAttempt, AttemptOutcome aOutcome)
+EntryExchanges::DeliverEnd(std::uint64_t aExchange, std::uint32_t aAttempt, AttemptOutcome aOutcome)
 {
   this->context.events.Deliver(
     AttemptEnded({ .exchange = aExchange, .attempt = aAttempt, .outcome = std::move(aOutcome) }));
 }
 
 void
-EntryCalls::Apply(const Relay& aEffect)
+EntryExchanges::Apply(const Relay& aEffect)
 {
   const auto found = this->calls.find(aEffect.Exchange());
   if (found == this->calls.end()) {
@@ -168,7 +168,7 @@
 }
 
 void
-EntryCalls::Apply(const CancelAttempt& aEffect)
+EntryExchanges::Apply(const CancelAttempt& aEffect)
 {
   const auto found = this->calls.find(aEffect.Exchange());
   if (found == this->calls.end()) {
@@ -183,7 +183,7 @@
 }
 
 bool
-EntryCalls::TryRefuse(const Refuse& aEffect)
+EntryExchanges::TryRefuse(const Refuse& aEffect)
 {
   const auto found = this->calls.find(aEffect.Exchange());
   if (found == this->calls.end()) {
@@ -200,7 +200,7 @@
 }
 
 void
-EntryCalls::Apply(const ForgetPeer& aEffect)
+EntryExchanges::Apply(const ForgetPeer& aEffect)
 {
   const auto found = this->peers.find(aEffect.Node());
   if (found != this->peers.end()) {
@@ -210,7 +210,7 @@
 }
 
 void
-EntryCalls::EraseWhenIdle(Calls::iterator aCall)
+EntryExchanges::EraseWhenIdle(Calls::iterator aCall)
 {
   if (aCall->second.connection) {
     return;
@@ -224,7 +224,7 @@
 }
 
 void
-EntryCalls::Erase(Calls::iterator aCall)
+EntryExchanges::Erase(Calls::iterator aCall)
 {
   for (const Call::Attempts::value_type& attempt : aCall->second.attempts) {
     if (attempt.second.running) {
@@ -236,7 +236,7 @@
 }
 
 AfterAnswer
-EntryCalls::After() const
+EntryExchanges::After() const
 {
   return this->context.draining ? AfterAnswer::kClose : AfterAnswer::kKeep;
 }
--- a/packages/node/entry_calls.h
+++ b/packages/node/entry_exchanges.h
@@ -19,13 +19,13 @@
 
 namespace jackdawwind::node {
 
-class EntryCalls
+class EntryExchanges
 {
 public:
   /// Longest time without a byte from the admitting node, three of its interim intervals.
   static constexpr Duration kSilenceLimit = std::chrono::milliseconds(1500);
 
-  explicit EntryCalls(ProxyContext& aContext)
+  explicit EntryExchanges(ProxyContext& aContext)
     : context(aContext)
   {
   }
--- a/packages/node/main.cc
+++ b/packages/node/main.cc
@@ -1,6 +1,7 @@
 // Program jackdawwind: runs one node until SIGTERM or SIGINT, then drains it.
 #include <csignal>
 #include <cstdlib>
+#include <exception>
 #include <iostream>
 #include <memory>
 #include <string>
@@ -13,7 +14,7 @@
 #include "node/log_writer.h"
 #include "node/net.h"
 #include "node/node_process.h"
-#include "node/settings_file.h"
+#include "wire/yaml.h"
 
 namespace jackdawwind::node {
 
@@ -89,16 +90,14 @@
       return arguments.count("help") > 0 ? EXIT_SUCCESS : EXIT_FAILURE;
     }
     file = arguments["settings"].as<std::string>();
-  } catch (const cxxopts::OptionException& exception) {
+  } catch (const std::exception& exception) {
     std::cerr << exception.what() << '\n';
     return EXIT_FAILURE;
   }
-  const wire::Decoded<NodeSettings> settings = LoadSettings(file);
-  if (const wire::DecodeError* error = std::get_if<wire::DecodeError>(&settings)) {
-    const LogWriter log(LogLevel::kInfo, "");
-    log.Write(LogEvent::kSettingsRejected,
-              "path=" + error->path + " expected=\"" + error->expected + "\" found=\"" +
-                error->found + "\"");
+  const wire::YamlResult<NodeSettings> settings = wire::LoadNodeSettings(file);
+  if (const YamlError* error = std::get_if<YamlError>(&settings)) {
+    const LogWriter log(LogLevel::kInfo, "none");
+    log.Write(LogEvent::kSettingsRejected, "reason=\"" + wire::Describe(*error) + "\"");
     return EXIT_FAILURE;
   }
   return RunNode(std::get<NodeSettings>(settings));
--- a/packages/node/proxy_io.cc
+++ b/packages/node/proxy_io.cc
@@ -53,8 +53,8 @@
                                          .maxBodyBytes = aSettings.MaxBodyBytes() },
              .events = this->events,
              .report = this->report }
-  , entryCalls(this->context)
-  , admittedCalls(this->context)
+  , entryExchanges(this->context)
+  , admittedExchanges(this->context)
   , sweepTimer(this->io)
   , flushTimer(this->io)
   , effects(kEffectRing, [this] { asio::post(this->io, [this] { this->ApplyEffects(); }); })
@@ -145,7 +145,7 @@
     return;
   }
   ServerConnection::Handlers handlers;
-  handlers.gone = [this](std::uint64_t aExchange) { this->entryCalls.OnGone(aExchange); };
+  handlers.gone = [this](std::uint64_t aExchange) { this->entryExchanges.OnGone(aExchange); };
   handlers.reject = [this](const Rejection& aRejection) {
     return RejectCaller(this->report, aRejection);
   };
@@ -155,7 +155,7 @@
     if (isTarget) {
       this->OnTargetRequest(aConnection, std::move(aRequest), std::move(aReservation));
     } else {
-      this->entryCalls.Arrive(
+      this->entryExchanges.Arrive(
         aConnection, ListenerKind::kCallers, std::move(aRequest), std::move(aReservation));
     }
   };
@@ -174,7 +174,7 @@
     return;
   }
   ServerConnection::Handlers handlers;
-  handlers.gone = [this](std::uint64_t aExchange) { this->admittedCalls.OnGone(aExchange); };
+  handlers.gone = [this](std::uint64_t aExchange) { this->admittedExchanges.OnGone(aExchange); };
   handlers.reject = [this](const Rejection& aRejection) {
     this->report(RefusedUnseen{ aRejection.code, aRejection.reason });
     return PeerRefusal(aRejection.code);
@@ -182,7 +182,7 @@
   handlers.request = [this](const ServerConnection::Pointer& aConnection,
                             HttpRequest aRequest,
                             BodyReservation aReservation) {
-    this->admittedCalls.Arrive(aConnection, std::move(aRequest), std::move(aReservation));
+    this->admittedExchanges.Arrive(aConnection, std::move(aRequest), std::move(aReservation));
   };
   ServerConnection::Options options = this->ConnectionOptions();
   options.interim = kInterimInterval;
@@ -206,7 +206,7 @@
     this->OnAnnouncement(aConnection, aRequest);
     return;
   }
-  this->entryCalls.Arrive(
+  this->entryExchanges.Arrive(
     aConnection, ListenerKind::kTarget, std::move(aRequest), std::move(aReservation));
 }
 
@@ -237,17 +237,26 @@
   for (const ProxyEffect& effect : this->effects.PopReady()) {
     struct Visitor
     {
-      void operator()(const Forward& aEffect) const { this->self.entryCalls.Apply(aEffect); }
+      void operator()(const Forward& aEffect) const { this->self.entryExchanges.Apply(aEffect); }
       void operator()(const Refuse& aEffect) const { this->self.Apply(aEffect); }
-      void operator()(const Relay& aEffect) const { this->self.entryCalls.Apply(aEffect); }
-      void operator()(const CancelAttempt& aEffect) const { this->self.entryCalls.Apply(aEffect); }
-      void operator()(const Dispatch& aEffect) const { this->self.admittedCalls.Apply(aEffect); }
-      void operator()(const Complete& aEffect) const { this->self.admittedCalls.Apply(aEffect); }
+      void operator()(const Relay& aEffect) const { this->self.entryExchanges.Apply(aEffect); }
+      void operator()(const CancelAttempt& aEffect) const
+      {
+        this->self.entryExchanges.Apply(aEffect);
+      }
+      void operator()(const Dispatch& aEffect) const
+      {
+        this->self.admittedExchanges.Apply(aEffect);
+      }
+      void operator()(const Complete& aEffect) const
+      {
+        this->self.admittedExchanges.Apply(aEffect);
+      }
       void operator()(const CancelDispatch& aEffect) const
       {
-        this->self.admittedCalls.Apply(aEffect);
+        this->self.admittedExchanges.Apply(aEffect);
       }
-      void operator()(const ForgetPeer& aEffect) const { this->self.entryCalls.Apply(aEffect); }
+      void operator()(const ForgetPeer& aEffect) const { this->self.entryExchanges.Apply(aEffect); }
       void operator()(const PhaseChanged& aEffect) const { this->self.Apply(aEffect); }
 
       ProxyIo& self;
@@ -259,8 +268,8 @@
 void
 ProxyIo::Apply(const Refuse& aEffect)
 {
-  if (!this->entryCalls.TryRefuse(aEffect)) {
-    this->admittedCalls.TryRefuse(aEffect);
+  if (!this->entryExchanges.TryRefuse(aEffect)) {
+    this->admittedExchanges.TryRefuse(aEffect);
   }
 }
 
--- a/packages/node/proxy_io.h
+++ b/packages/node/proxy_io.h
@@ -19,9 +19,9 @@
 #include <variant>
 #include <vector>
 
-#include "node/admitted_calls.h"
+#include "node/admitted_exchanges.h"
 #include "node/connection_pool.h"
-#include "node/entry_calls.h"
+#include "node/entry_exchanges.h"
 #include "node/event_sender.h"
 #include "node/listener.h"
 #include "node/proxy_context.h"
@@ -107,8 +107,8 @@
   ConnectionPool pool;
   EventSender events;
   ProxyContext context;
-  EntryCalls entryCalls;
-  AdmittedCalls admittedCalls;
+  EntryExchanges entryExchanges;
+  AdmittedExchanges admittedExchanges;
   ClockTimer sweepTimer;
   ClockTimer flushTimer;
   std::vector<std::weak_ptr<ServerConnection>> connections;
--- a/packages/standins/common/http_server.cc
+++ b/packages/standins/common/http_server.cc
@@ -4,6 +4,7 @@
 #include <sstream>
 #include <utility>
 
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
@@ -77,6 +78,20 @@
       });
   }
 
+  void AnswerRaw(std::string aBytes) override
+  {
+    if (std::exchange(this->answered, true)) {
+      return;
+    }
+    error_code ignored;
+    this->socket.cancel(ignored);
+    this->raw = std::move(aBytes);
+    asio::async_write(this->socket,
+                      asio::buffer(this->raw),
+                      [self = this->shared_from_this()](const error_code& /*aError*/,
+                                                        std::size_t /*aBytes*/) { self->Close(); });
+  }
+
   void Close() override
   {
     this->answered = true;
@@ -116,6 +131,7 @@
   std::optional<http::request_parser<http::string_body>> parser;
   http::response<http::string_body> response;
   std::optional<http::response_serializer<http::string_body>> serializer;
+  std::string raw;
   std::function<void()> onAbandoned;
   bool answered = false;
 };
--- a/packages/standins/common/http_server.h
+++ b/packages/standins/common/http_server.h
@@ -35,6 +35,8 @@
   virtual const HttpMessage& Message() const = 0;
   /// Sends a complete JSON answer; only the first call has an effect.
   virtual void Answer(unsigned aStatus, std::string aBody) = 0;
+  /// Sends bytes as they are and closes the connection; only the first answer has an effect.
+  virtual void AnswerRaw(std::string aBytes) = 0;
   /// Closes the connection without an answer.
   virtual void Close() = 0;
   /// Sets what runs when the client closes its connection before the answer.
--- /dev/null
+++ b/packages/standins/relay/relay.cc
@@ -0,0 +1,169 @@
+#include "standins/relay/relay.h"
+
+#include <array>
+#include <cstddef>
+#include <utility>
+
+#include <boost/asio/basic_waitable_timer.hpp>
+#include <boost/asio/ip/address_v4.hpp>
+#include <boost/asio/write.hpp>
+
+#include "util/clock.h"
+
+namespace jackdawwind::standins {
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr std::size_t kBlockBytes = 16384;
+
+} // namespace
+
+/// One relayed connection: two directions, each copies one block at a time.
+class RelayedConnection : public std::enable_shared_from_this<RelayedConnection>
+{
+public:
+  RelayedConnection(asio::io_context& aContext, tcp::socket aClient, const RelayControl& aControl)
+    : client(std::move(aClient))
+    , server(aContext)
+    , control(aControl)
+    , towardsServer(aContext)
+    , towardsClient(aContext)
+  {
+  }
+
+  void Start(const tcp::endpoint& aDestination)
+  {
+    this->server.async_connect(aDestination,
+                               [self = this->shared_from_this()](const error_code& aError) {
+                                 if (aError) {
+                                   self->Close();
+                                   return;
+                                 }
+                                 error_code ignored;
+                                 self->client.set_option(tcp::no_delay(true), ignored);
+                                 self->server.set_option(tcp::no_delay(true), ignored);
+                                 self->Read(self->client, self->server, self->towardsServer);
+                                 self->Read(self->server, self->client, self->towardsClient);
+                               });
+  }
+
+  void Silence()
+  {
+    // Holds itself, so that the connection stays open without an operation.
+    this->silent = this->shared_from_this();
+    error_code ignored;
+    this->client.cancel(ignored);
+    this->server.cancel(ignored);
+  }
+
+  void Close()
+  {
+    error_code ignored;
+    this->client.close(ignored);
+    this->server.close(ignored);
+    this->silent.reset();
+  }
+
+private:
+  struct Direction
+  {
+    explicit Direction(asio::io_context& aContext)
+      : timer(aContext)
+    {
+    }
+
+    std::array<char, kBlockBytes> block{};
+    asio::basic_waitable_timer<Clock> timer;
+  };
+
+  void Read(tcp::socket& aFrom, tcp::socket& aTo, Direction& aDirection)
+  {
+    aFrom.async_read_some(
+      asio::buffer(aDirection.block),
+      [self = this->shared_from_this(), &aFrom, &aTo, &aDirection](const error_code& aError,
+                                                                   std::size_t aBytes) {
+        if (self->silent) {
+          return;
+        }
+        if (aError) {
+          self->Close();
+          return;
+        }
+        aDirection.timer.expires_after(self->control.DelayMs());
+        aDirection.timer.async_wait([self, &aFrom, &aTo, &aDirection, aBytes](const error_code&) {
+          self->Write(aFrom, aTo, aDirection, aBytes);
+        });
+      });
+  }
+
+  void Write(tcp::socket& aFrom, tcp::socket& aTo, Direction& aDirection, std::size_t aBytes)
+  {
+    if (this->silent) {
+      return;
+    }
+    asio::async_write(aTo,
+                      asio::buffer(aDirection.block.data(), aBytes),
+                      [self = this->shared_from_this(), &aFrom, &aTo, &aDirection](
+                        const error_code& aError, std::size_t) {
+                        if (self->silent) {
+                          return;
+                        }
+                        if (aError) {
+                          self->Close();
+                          return;
+                        }
+                        self->Read(aFrom, aTo, aDirection);
+                      });
+  }
+
+  tcp::socket client;
+  tcp::socket server;
+  const RelayControl& control;
+  Direction towardsServer;
+  Direction towardsClient;
+  std::shared_ptr<RelayedConnection> silent;
+};
+
+Relay::Relay(asio::io_context& aContext, std::uint16_t aPort, tcp::endpoint aDestination)
+  : context(aContext)
+  , acceptor(aContext, tcp::endpoint(asio::ip::address_v4::loopback(), aPort))
+  , destination(std::move(aDestination))
+{
+  this->Accept();
+}
+
+void
+Relay::Control(const RelayControl& aControl)
+{
+  this->control = aControl;
+  for (const std::weak_ptr<RelayedConnection>& weak : this->connections) {
+    const std::shared_ptr<RelayedConnection> connection = weak.lock();
+    if (connection && aControl.Mode() == RelayMode::kCut) {
+      connection->Close();
+    } else if (connection && aControl.Mode() == RelayMode::kSilent) {
+      connection->Silence();
+    }
+  }
+}
+
+void
+Relay::Accept()
+{
+  this->acceptor.async_accept([this](const error_code& aError, tcp::socket aSocket) {
+    if (!aError && this->control.Mode() != RelayMode::kCut) {
+      const std::shared_ptr<RelayedConnection> connection =
+        std::make_shared<RelayedConnection>(this->context, std::move(aSocket), this->control);
+      std::erase_if(this->connections,
+                    [](const std::weak_ptr<RelayedConnection>& aOld) { return aOld.expired(); });
+      this->connections.push_back(connection);
+      connection->Start(this->destination);
+    }
+    this->Accept();
+  });
+}
+
+} // namespace jackdawwind::standins
--- /dev/null
+++ b/packages/standins/target/main.cc
@@ -0,0 +1,82 @@
+// Program standin_target: a target for tests that run whole processes.
+#include <cstdint>
+#include <cstdlib>
+#include <exception>
+#include <iostream>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <cxxopts.hpp>
+
+#include "standins/target/target.h"
+
+namespace jackdawwind::standins {
+
+namespace {
+
+cxxopts::ParseResult
+Parse(int aCount, char** aArguments)
+{
+  cxxopts::Options options("standin_target", "Stand-in of a target, for tests");
+  cxxopts::OptionAdder add = options.add_options();
+  add("port",
+      "TCP port; 0 lets the system choose",
+      cxxopts::value<std::uint16_t>()->default_value("0"));
+  add("node-host",
+      "IP address of the node",
+      cxxopts::value<std::string>()->default_value("127.0.0.1"));
+  add("node-port", "port of the node's target listener", cxxopts::value<std::uint16_t>());
+  add("service", "service that it announces", cxxopts::value<std::string>());
+  add("service-ms", "time of a request", cxxopts::value<std::int64_t>()->default_value("0"));
+  add("slots",
+      "requests at once; 0 for no limit",
+      cxxopts::value<std::uint32_t>()->default_value("0"));
+  add("status", "HTTP status of answers", cxxopts::value<std::uint32_t>()->default_value("200"));
+  add("cold-start-ms", "time as starting", cxxopts::value<std::int64_t>()->default_value("0"));
+  add("child-path", "path of a child call", cxxopts::value<std::string>()->default_value(""));
+  add("answer-bytes", "bytes of an answer", cxxopts::value<std::size_t>()->default_value("16"));
+  return options.parse(aCount, aArguments);
+}
+
+int
+Run(int aCount, char** aArguments)
+{
+  const cxxopts::ParseResult parsed = Parse(aCount, aArguments);
+  Target::Options options;
+  options.port = parsed["port"].as<std::uint16_t>();
+  options.service = parsed["service"].as<std::string>();
+  options.node = boost::asio::ip::tcp::endpoint(
+    boost::asio::ip::make_address(parsed["node-host"].as<std::string>()),
+    parsed["node-port"].as<std::uint16_t>());
+  options.behaviour =
+    TargetFaults({ .status = parsed["status"].as<std::uint32_t>(),
+                   .serviceMs = std::chrono::milliseconds(parsed["service-ms"].as<std::int64_t>()),
+                   .slots = parsed["slots"].as<std::uint32_t>() });
+  options.coldStart = std::chrono::milliseconds(parsed["cold-start-ms"].as<std::int64_t>());
+  options.childPath = parsed["child-path"].as<std::string>();
+  options.answerBytes = parsed["answer-bytes"].as<std::size_t>();
+  boost::asio::io_context context;
+  boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+  signals.async_wait([&context](const boost::system::error_code&, int) { context.stop(); });
+  const Target target(context, options);
+  std::cout << "listening " << target.Port() << std::endl;
+  context.run();
+  return EXIT_SUCCESS;
+}
+
+} // namespace
+
+} // namespace jackdawwind::standins
+
+int
+main(int aCount, char** aArguments)
+{
+  try {
+    return jackdawwind::standins::Run(aCount, aArguments);
+  } catch (const std::exception& exception) {
+    std::cerr << "standin_target: " << exception.what() << "\n";
+    return EXIT_FAILURE;
+  }
+}
