--- a/packages/decisions/tests/overload_queue_test.cc
+++ b/packages/decisions/tests/overload_queue_test.cc
@@ -134,14 +134,15 @@
            .deadline = aNow + milliseconds(aRandom.Below(80)) };
 }
 
-std::map<std::uint64_t, ResultCode>
-CodesOf(const std::vector<DroppedCall>& aDropped)
+void
+CompareExpired(AdmissionQueue& aQueue, ModelQueue& aModel, Time aNow)
 {
   std::map<std::uint64_t, ResultCode> codes;
-  for (const DroppedCall& dropped : aDropped) {
+  for (const DroppedCall& dropped : aQueue.DropExpired(kExpected, aNow)) {
     codes[dropped.call.exchange] = dropped.code;
   }
-  return codes;
+  EXPECT_EQ(codes, aModel.DropExpired(aNow));
+  EXPECT_GT(aQueue.NextExpiry(kExpected), aNow);
 }
 
 void
@@ -169,8 +170,7 @@
     } else if (action < 9) {
       EXPECT_EQ(queue.Remove(step - 5), model.Remove(step - 5));
     } else {
-      EXPECT_EQ(CodesOf(queue.DropExpired(kExpected, now)), model.DropExpired(now));
-      EXPECT_GT(queue.NextExpiry(kExpected), now);
+      CompareExpired(queue, model, now);
     }
     ASSERT_EQ(queue.Size(), model.Size());
   }
