--- a/packages/decisions/rate/steward_election.cc
+++ b/packages/decisions/rate/steward_election.cc
@@ -46,7 +46,8 @@
 {
   // A mark of another incarnation lies outside the range, because bases are random.
   const std::uint64_t age = this->IssueMark(aNow) - aMark;
-  if (this->resigned || age >= static_cast<std::uint64_t>(kVoteTime.count())) {
+  if (this->resigned || aMark < this->markBase ||
+      age >= static_cast<std::uint64_t>(kVoteTime.count())) {
     return;
   }
   const Time end = aNow - Duration(static_cast<Duration::rep>(age)) + kVoteTime;
--- /dev/null
+++ b/packages/decisions/tests/rate_parts_test.cc
@@ -0,0 +1,205 @@
+// Guards the single rules that the limit over the fleet rests on: what counts against a burst, from
+// when votes and lives count, and how shares are split and grow.
+#include <chrono>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "decisions/rate/grant_book.h"
+#include "decisions/rate/share_limits.h"
+#include "decisions/rate/steward_election.h"
+#include "decisions/rate/token_bucket.h"
+#include "decisions/rate/token_purse.h"
+#include "decisions/rate/vote_promise.h"
+
+namespace jackdawwind {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint64_t kMarkBase = 1000;
+
+Time
+At(Duration aTime)
+{
+  return Time(aTime);
+}
+
+TEST(ShareLimits, WholeTokensAreSplitAndSumToTheBurst)
+{
+  struct Case
+  {
+    const char* name;
+    double burst;
+    std::vector<double> shares;
+    std::vector<std::uint32_t> bursts;
+    std::vector<double> rates;
+  };
+  const Case cases[] = {
+    { "even", 8, { 0.5, 0.5 }, { 4, 4 }, { 50, 50 } },
+    { "remainder", 5, { 0.5, 0.5 }, { 3, 2 }, { 50, 50 } },
+    { "less than one each", 1, { 0.25, 0.25, 0.5 }, { 0, 0, 1 }, { 0, 0, 100 } },
+    { "shares just below one", 1, { 0.333, 0.333, 0.333 }, { 1, 0, 0 }, { 99.9, 0, 0 } },
+    { "domain without share", 4, { 1, 0 }, { 4, 0 }, { 100, 0 } },
+    { "part unused", 10, { 0.2, 0.2 }, { 2, 2 }, { 20, 20 } },
+  };
+  for (const Case& testCase : cases) {
+    SCOPED_TRACE(testCase.name);
+    std::map<std::string, Domain> domains;
+    for (std::size_t index = 0; index < testCase.shares.size(); ++index) {
+      const std::string name = "d" + std::to_string(index);
+      domains.emplace(
+        name, Domain({ .name = name, .region = "r", .hosts = 1, .share = testCase.shares[index] }));
+    }
+    const Organisation organisation({ .name = "o", .rate = 100, .burst = testCase.burst });
+    for (std::size_t index = 0; index < testCase.shares.size(); ++index) {
+      const BucketLimit limit = LimitOf(organisation, domains, "d" + std::to_string(index));
+      EXPECT_EQ(limit.burst, testCase.bursts[index]) << index;
+      EXPECT_NEAR(limit.perSecond, testCase.rates[index], 1e-6) << index;
+    }
+  }
+}
+
+TEST(DelayedLimit, GrowthWaitsAndShrinkingDoesNot)
+{
+  DelayedLimit limit;
+  limit.Set({ 10, 10 }, At(seconds(0)));
+  EXPECT_EQ(limit.InForce(At(milliseconds(9999))), BucketLimit{}) << "first value grows from none";
+  EXPECT_EQ(limit.InForce(At(seconds(10))), (BucketLimit{ 10, 10 }));
+  limit.Set({ 4, 20 }, At(seconds(20)));
+  EXPECT_EQ(limit.InForce(At(seconds(20))), (BucketLimit{ 4, 10 }));
+  limit.Set({ 30, 5 }, At(seconds(25)));
+  EXPECT_EQ(limit.InForce(At(seconds(31))), (BucketLimit{ 4, 5 })) << "rate waits for 35 s";
+  EXPECT_EQ(limit.InForce(At(seconds(35))), (BucketLimit{ 30, 5 }));
+}
+
+TEST(TokenBucket, HandedOutTokensCountUntilTheyExpire)
+{
+  TokenBucket bucket(At(seconds(0)));
+  bucket.SetLimit({ 10, 10 }, At(seconds(0)));
+  EXPECT_EQ(bucket.Available(At(milliseconds(99))), 0U) << "starts empty";
+  EXPECT_EQ(bucket.HandOut(20, seconds(2), At(seconds(5))), 10U);
+  EXPECT_EQ(bucket.Available(At(milliseconds(6999))), 0U) << "ten are alive";
+  EXPECT_EQ(bucket.Available(At(seconds(7))), 0U) << "expired, and the bucket fills from then on";
+  EXPECT_EQ(bucket.Available(At(seconds(8))), 10U);
+  bucket.SetLimit({ 10, 3 }, At(seconds(8)));
+  EXPECT_EQ(bucket.Available(At(seconds(8))), 3U) << "a smaller burst counts at once";
+}
+
+TEST(TokenBucket, FractionsAreNotLost)
+{
+  TokenBucket bucket(At(seconds(0)));
+  bucket.SetLimit({ 0.7, 2 }, At(seconds(0)));
+  std::uint32_t granted = 0;
+  for (int step = 1; step <= 10000; ++step) {
+    granted += bucket.HandOut(1, milliseconds(100), At(milliseconds(100) * step));
+  }
+  EXPECT_NEAR(granted, 700, 1);
+}
+
+TEST(StewardElection, VotesCountFromTheirMark)
+{
+  struct Case
+  {
+    const char* name;
+    Duration issued;
+    Duration arrived;
+    LeaseChange change;
+  };
+  const Case cases[] = {
+    { "prompt", seconds(10), seconds(10), LeaseChange::kWon },
+    { "late but alive", seconds(10), milliseconds(12900), LeaseChange::kWon },
+    { "older than a promise", seconds(10), seconds(13), LeaseChange::kNone },
+  };
+  for (const Case& testCase : cases) {
+    SCOPED_TRACE(testCase.name);
+    StewardElection election(kMarkBase, At(seconds(0)));
+    election.SetHosts(1, At(seconds(0)));
+    const std::uint64_t mark = election.IssueMark(At(testCase.issued));
+    election.CountVote("v", mark, At(testCase.arrived));
+    EXPECT_EQ(election.Update(At(testCase.arrived)), testCase.change);
+    EXPECT_EQ(election.Update(At(testCase.issued + seconds(3))),
+              testCase.change == LeaseChange::kWon ? LeaseChange::kLost : LeaseChange::kNone)
+      << "3 s after the mark, whenever the vote came";
+  }
+}
+
+TEST(StewardElection, HalfOfTheHostsIsNotAMajority)
+{
+  StewardElection election(kMarkBase, At(seconds(0)));
+  election.SetHosts(4, At(seconds(0)));
+  for (const char* voter : { "a", "b", "b" }) {
+    election.CountVote(voter, election.IssueMark(At(seconds(1))), At(seconds(1)));
+  }
+  EXPECT_EQ(election.Update(At(seconds(1))), LeaseChange::kNone);
+  election.CountVote("c", kMarkBase - 1, At(seconds(1)));
+  EXPECT_EQ(election.Update(At(seconds(1))), LeaseChange::kNone) << "mark of another incarnation";
+  election.SetHosts(2, At(seconds(1)));
+  EXPECT_EQ(election.Update(At(seconds(1))), LeaseChange::kNone) << "fewer hosts count after 10 s";
+}
+
+TEST(VotePromise, BindsForThreeSecondsAndAfterAStart)
+{
+  VotePromise promise(At(seconds(0)));
+  EXPECT_FALSE(promise.MayVote("a", At(milliseconds(2999))))
+    << "may have promised before the start";
+  EXPECT_TRUE(promise.MayVote("a", At(seconds(3))));
+  promise.Make("a", kMarkBase, At(seconds(3)));
+  EXPECT_TRUE(promise.MayVote("a", At(seconds(4))));
+  EXPECT_FALSE(promise.MayVote("b", At(milliseconds(5999))));
+  promise.Release("a", kMarkBase - 1);
+  EXPECT_FALSE(promise.MayVote("b", At(seconds(4)))) << "late release of an earlier incarnation";
+  promise.Release("a", kMarkBase + 5);
+  EXPECT_TRUE(promise.MayVote("b", At(seconds(4))));
+}
+
+TEST(GrantBook, ANewStewardWaitsOneTokenLifetime)
+{
+  GrantBook book;
+  book.SetLimits({ { "o", { 100, 100 } } }, At(seconds(0)));
+  book.BeginTerm(At(seconds(20)));
+  EXPECT_EQ(book.Grant("o", 1, At(seconds(22))).Tokens(), 0U);
+  book.Refresh(At(milliseconds(22020)));
+  EXPECT_EQ(book.Grant("o", 10, At(milliseconds(22020))).Tokens(), 0U) << "starts empty";
+  EXPECT_EQ(book.Grant("o", 10, At(milliseconds(22070))).Tokens(), 5U);
+  book.EndTerm();
+  EXPECT_EQ(book.Grant("o", 10, At(seconds(30))).Tokens(), 0U);
+}
+
+TEST(GrantBook, ALenderKeepsAReserveForItsOwnDomain)
+{
+  GrantBook book;
+  book.SetLimits({ { "o", { 100, 100 } } }, At(seconds(0)));
+  book.BeginTerm(At(seconds(20)));
+  book.Refresh(At(milliseconds(22020)));
+  book.NoteDemand("o", 80, At(seconds(24)));
+  EXPECT_EQ(book.Lend("o", 200, At(seconds(24))).Tokens(), 80U) << "keeps 250 ms of 80 per second";
+  EXPECT_EQ(book.Grant("o", 200, At(seconds(24))).Tokens(), 20U);
+}
+
+TEST(TokenPurse, LifeCountsFromTheReportAndGrantsCountOnce)
+{
+  TokenPurse purse(true);
+  purse.NoteDemand("o", At(seconds(0)));
+  purse.NoteAsk(7, "s", { TokenDemand({ .organisation = "o", .want = 2 }) }, At(seconds(0)));
+  const StewardGrant::Fields fields{
+    .sender = "s",
+    .sequence = 7,
+    .mark = 1,
+    .elected = true,
+    .grants = { TokenGrant({ .organisation = "o", .tokens = 2, .life = seconds(1) }) }
+  };
+  StewardGrant::Fields other = fields;
+  other.sender = "t";
+  EXPECT_FALSE(purse.Receive(StewardGrant(other), At(milliseconds(900)))) << "was not asked";
+  EXPECT_TRUE(purse.Receive(StewardGrant(fields), At(milliseconds(900))));
+  EXPECT_FALSE(purse.Receive(StewardGrant(fields), At(milliseconds(900)))) << "a copy";
+  EXPECT_EQ(purse.Count("o", At(milliseconds(999))), 2U);
+  EXPECT_FALSE(purse.Take("o", At(seconds(1)))) << "a second after the report, not the grant";
+}
+
+} // namespace
+} // namespace jackdawwind
