--- a/packages/decisions/rate/rate_limiter.h
+++ b/packages/decisions/rate/rate_limiter.h
@@ -10,7 +10,7 @@
 //
 // Guarantee: calls taken over the whole fleet in any window never exceed rate x window + burst,
 // under any loss, delay, duplication or reordering of messages, pauses, restarts and partitions,
-// provided that clocks count pauses and run within 1% of each other, that no more nodes of a domain
+// provided that clocks count pauses and run within 0.5% of each other, that no more nodes of a domain
 // run than its configured hosts, and that a configuration reaches every steward within 10 s
 // (docs/rate.md).
 //
