--- a/bench/membership_experiment.cc
+++ b/bench/membership_experiment.cc
@@ -143,6 +143,7 @@
 Median(const std::vector<Result>& aResults, double Result::*aField)
 {
   std::vector<double> values;
+  values.reserve(aResults.size());
   for (const Result& result : aResults) {
     values.push_back(result.*aField);
   }
--- a/packages/decisions/tests/control_fleet.h
+++ b/packages/decisions/tests/control_fleet.h
@@ -313,8 +313,7 @@
         this->random.Fraction() < this->options.loss) {
       return;
     }
-    const PeerMessage message = aSent.Message();
-    this->After(this->RandomDelay(), [this, to, message] {
+    this->After(this->RandomDelay(), [this, to, message = aSent.Message()] {
       this->Arrive(to, [message](ControlFollower& aFollower, Time aNow, Effects& aEffects) {
         if (const ConfigWant* want = std::get_if<ConfigWant>(&message)) {
           aFollower.Receive(*want, aNow, aEffects);
@@ -408,7 +407,7 @@
     }
     this->After(std::chrono::seconds(1), [this, aNode] { this->Gossip(aNode); });
     const std::vector<std::string> names = this->Nodes();
-    const std::string other = names[this->random.Below(names.size())];
+    const std::string& other = names[this->random.Below(names.size())];
     const Node& peer = this->nodes.at(other);
     const bool awake = !found->second.frozen && !peer.frozen;
     if (other == aNode || !awake || !this->Connected(found->second, peer)) {
--- a/packages/decisions/tests/control_follower_test.cc
+++ b/packages/decisions/tests/control_follower_test.cc
@@ -288,6 +288,7 @@
   for (const int size : { 1, 2, 3, 9, 59 }) {
     SCOPED_TRACE(size);
     std::vector<PeerAddress> members;
+    members.reserve(static_cast<std::size_t>(size));
     for (int index = 0; index < size; ++index) {
       members.push_back(PeerAddress({ .node = "n" + std::to_string(100 + index) }));
     }
--- a/packages/decisions/tests/membership_fleet.h
+++ b/packages/decisions/tests/membership_fleet.h
@@ -68,7 +68,7 @@
   {
     this->Crash(aNode.node);
     const std::uint32_t port = ++this->lastPort;
-    const PeerAddress address(
+    PeerAddress address(
       { .node = aNode.node, .host = "10.0.0.1", .callPort = port, .controlPort = port });
     Membership::Options memberOptions;
     memberOptions.self = Member({ .address = address,
