--- a/bench/membership_experiment.cc
+++ b/bench/membership_experiment.cc
@@ -47,10 +47,12 @@
 AllAgree(const Fleet& aFleet, std::size_t aSize)
 {
   for (const std::string& node : aFleet.Nodes()) {
-    const std::map<std::string, Member>& members = aFleet.At(node).Members();
-    if (members.size() != aSize) {
+    if (aFleet.At(node).Members().size() != aSize) {
       return false;
     }
+  }
+  for (const std::string& node : aFleet.Nodes()) {
+    const std::map<std::string, Member>& members = aFleet.At(node).Members();
     for (const std::pair<const std::string, Member>& entry : members) {
       if (entry.second.State() != NodeState::kAlive) {
         return false;
--- a/packages/decisions/membership/change_queue.cc
+++ b/packages/decisions/membership/change_queue.cc
@@ -1,26 +1,33 @@
 #include "decisions/membership/change_queue.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace jackdawwind {
 
 std::vector<std::string>
 ChangeQueue::Take(std::size_t aCount, std::uint32_t aLimit)
 {
-  std::vector<std::pair<std::uint32_t, std::string>> order;
+  using Entry = std::map<std::string, std::uint32_t>::iterator;
+  std::vector<Entry> order;
   order.reserve(this->sent.size());
-  for (const auto& [node, count] : this->sent) {
-    order.emplace_back(count, node);
+  for (Entry entry = this->sent.begin(); entry != this->sent.end(); ++entry) {
+    order.push_back(entry);
   }
   const std::size_t taken = std::min(aCount, order.size());
-  std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(taken), order.end());
+  std::partial_sort(order.begin(),
+                    order.begin() + static_cast<std::ptrdiff_t>(taken),
+                    order.end(),
+                    [](const Entry& aLeft, const Entry& aRight) {
+                      return aLeft->second != aRight->second ? aLeft->second < aRight->second
+                                                             : aLeft->first < aRight->first;
+                    });
   std::vector<std::string> nodes;
+  nodes.reserve(taken);
   for (std::size_t index = 0; index < taken; ++index) {
-    const std::string& node = order[index].second;
-    nodes.push_back(node);
-    if (++this->sent[node] >= aLimit) {
-      this->sent.erase(node);
+    const Entry entry = order[index];
+    nodes.push_back(entry->first);
+    if (++entry->second >= aLimit) {
+      this->sent.erase(entry);
     }
   }
   return nodes;
--- a/packages/decisions/membership/membership.cc
+++ b/packages/decisions/membership/membership.cc
@@ -645,17 +645,18 @@
 std::vector<PeerAddress>
 Membership::RandomPeers(const std::string& aDomain, std::size_t aCount)
 {
-  std::vector<PeerAddress> peers;
+  std::vector<const PeerAddress*> peers;
+  peers.reserve(this->table.All().size());
   for (const auto& [node, member] : this->table.All()) {
     const bool inDomain = aDomain.empty() || member.GetDomain() == aDomain;
     if (inDomain && IsLive(member) && node != this->options.self.Address().Node()) {
-      peers.push_back(member.Address());
+      peers.push_back(&member.Address());
     }
   }
   std::vector<PeerAddress> chosen;
   while (chosen.size() < aCount && !peers.empty()) {
     const std::size_t index = this->random.Below(peers.size());
-    chosen.push_back(peers[index]);
+    chosen.push_back(*peers[index]);
     peers[index] = peers.back();
     peers.pop_back();
   }
--- a/packages/decisions/membership/probe_ring.cc
+++ b/packages/decisions/membership/probe_ring.cc
@@ -43,8 +43,11 @@
 }
 
 double
-ProbeRing::OwnShare(const MemberTable& aTable) const
+ProbeRing::OwnShare(const MemberTable& aTable)
 {
+  if (this->ownShareAt == aTable.Changes()) {
+    return this->ownShare;
+  }
   double ownCount = 0;
   double allCount = 0;
   for (const auto& [node, member] : aTable.All()) {
@@ -54,7 +57,9 @@
     }
   }
   const double wanted = kOwnShare * std::min(1.0, ownCount / kFullDomain);
-  return std::max(wanted, ownCount / std::max(allCount, 1.0));
+  this->ownShare = std::max(wanted, ownCount / std::max(allCount, 1.0));
+  this->ownShareAt = aTable.Changes();
+  return this->ownShare;
 }
 
 std::optional<std::string>
--- a/packages/decisions/membership/probe_ring.h
+++ b/packages/decisions/membership/probe_ring.h
@@ -27,7 +27,7 @@
 
 private:
   /// Part of the probes that go to the own domain.
-  double OwnShare(const MemberTable& aTable) const;
+  double OwnShare(const MemberTable& aTable);
   std::optional<std::string> NextOf(std::vector<std::string>& aRound,
                                     bool aOwnDomain,
                                     const MemberTable& aTable,
@@ -39,6 +39,10 @@
   std::vector<std::string> others;
   /// Grows by the share of own probes each time; an own probe takes one.
   double credit = 0;
+  /// Last result of OwnShare and the table's count of changes then; a quiet table is not counted
+  /// again.
+  double ownShare = 0;
+  std::optional<std::uint64_t> ownShareAt;
 };
 
 /// Puts aNodes into random order.
