--- a/packages/decisions/overload/concurrency_limit.cc
+++ b/packages/decisions/overload/concurrency_limit.cc
@@ -13,6 +13,7 @@
 /// a window has 50 samples; twice that leaves room for ordinary variation.
 constexpr double kTolerance = 2.0;
 constexpr std::uint32_t kWindowSamples = 50;
+constexpr std::uint32_t kWindowRounds = 3;
 /// A target with few calls closes its window early.
 constexpr Duration kWindowTime = std::chrono::seconds(1);
 constexpr std::uint32_t kMinWindowSamples = 10;
@@ -49,14 +50,25 @@
 {
   this->slots = std::max(aSlots, 1U);
   this->limit = std::min(this->limit, static_cast<double>(this->slots));
+  if (this->cold) {
+    // The target may announce itself before the configuration with its slots has been read.
+    this->limit = std::max(this->limit, this->ColdLimit());
+  }
+}
+
+double
+ConcurrencyLimit::ColdLimit() const
+{
+  return std::max(1.0, this->slots * kColdPart);
 }
 
 void
 ConcurrencyLimit::ColdStart(Time aNow)
 {
-  this->limit = std::max(1.0, this->slots * kColdPart);
+  this->limit = this->ColdLimit();
+  this->cold = true;
   this->minimum = Duration::zero();
-  this->decreased = aNow;
+  this->counted = aNow;
   this->slowLimit = 0;
   this->nextCheck = Time::max();
   this->checkedLimit = 0;
@@ -66,12 +78,13 @@
 void
 ConcurrencyLimit::NoteAnswered(const LimitSample& aSample)
 {
-  if (aSample.started < this->decreased) {
+  if (aSample.started < this->counted) {
     return;
   }
   this->Count(aSample.ended);
   this->sum += aSample.ended - aSample.started;
-  if (aSample.limited && this->checkedLimit == 0) {
+  this->limited = this->limited || aSample.limited;
+  if (aSample.limited && this->checkedLimit == 0 && !this->cold) {
     this->limit = std::min(this->limit + 1 / this->limit, static_cast<double>(this->slots));
   }
   if (this->WindowIsFull(aSample.ended)) {
@@ -82,7 +95,7 @@
 void
 ConcurrencyLimit::NoteRefused(const LimitSample& aSample)
 {
-  if (aSample.started < this->decreased) {
+  if (aSample.started < this->counted) {
     return;
   }
   this->Count(aSample.ended);
@@ -114,14 +127,18 @@
 bool
 ConcurrencyLimit::WindowIsFull(Time aNow) const
 {
+  // The first calls to end of those that run side by side are the short ones; a window of several
+  // rounds keeps them from passing for the target's ordinary latency.
+  const std::uint32_t enough = std::max(kWindowSamples, kWindowRounds * this->Value());
   const bool late = aNow - this->windowStarted >= kWindowTime;
-  return this->samples >= kWindowSamples || (late && this->samples >= kMinWindowSamples);
+  return this->samples >= enough || (late && this->samples >= kMinWindowSamples);
 }
 
 void
 ConcurrencyLimit::CloseWindow(Time aNow)
 {
   const Duration mean = this->sum / (this->samples - this->refusals);
+  const bool wasLimited = this->limited;
   this->StartWindow();
   if (this->checkedLimit > 0) {
     this->EndCheck(mean);
@@ -135,6 +152,13 @@
     return;
   }
   this->slowLimit = 0;
+  if (this->cold && wasLimited) {
+    // Doubling per window opens 60 slots of calls that last a second within seconds; adding one per
+    // service time would take a minute. The first window measures the latency at the low limit.
+    this->limit = std::min(this->limit * 2, static_cast<double>(this->slots));
+    this->counted = aNow;
+    return;
+  }
   if (aNow >= this->nextCheck) {
     this->nextCheck = aNow + kCheckInterval;
     this->checkedLimit = this->limit;
@@ -172,8 +196,9 @@
 void
 ConcurrencyLimit::Decrease(double aFactor, Time aNow)
 {
+  this->cold = false;
   this->limit = std::max(1.0, this->limit * aFactor);
-  this->decreased = aNow;
+  this->counted = aNow;
   this->StartWindow();
 }
 
@@ -183,6 +208,7 @@
   this->samples = 0;
   this->refusals = 0;
   this->sum = Duration::zero();
+  this->limited = false;
 }
 
 } // namespace jackdawwind
--- a/packages/decisions/overload/concurrency_limit.h
+++ b/packages/decisions/overload/concurrency_limit.h
@@ -6,8 +6,8 @@
 //
 // Additive increase by 1 per limit's worth of answers, while the limit holds calls back.
 // Multiplicative decrease when the mean latency of a window exceeds twice the moving minimum, or
-// when the target refuses. Outcomes of calls that started before the last decrease say nothing
-// about the new limit and are ignored.
+// when the target refuses three calls within a window. Outcomes of calls that started before the
+// last decrease say nothing about the new limit and are ignored.
 //
 // The moving minimum is the lowest window mean. It falls at once. It rises only when halving the
 // limit did not lower the latency: then the target is slow for another reason than its concurrency.
@@ -53,6 +53,7 @@
   Duration Minimum() const { return this->minimum; }
 
 private:
+  double ColdLimit() const;
   void Count(Time aEnded);
   bool WindowIsFull(Time aNow) const;
   void CloseWindow(Time aNow);
@@ -64,13 +65,17 @@
 
   std::uint32_t slots = 1;
   double limit = 1;
+  /// From a cold start until the first sign of overload.
+  bool cold = true;
   Duration minimum{};
-  Time decreased = Time::min();
+  /// Only calls that started since the last change of the limit count.
+  Time counted = Time::min();
 
   // The present window.
   std::uint32_t samples = 0;
   std::uint32_t refusals = 0;
   Duration sum{};
+  bool limited = false;
   Time windowStarted{};
 
   // A run of decreases for latency: limit and mean latency at its begin; zero when none is under
