--- a/packages/node/admitted_exchanges.cc
+++ b/packages/node/admitted_exchanges.cc
@@ -158,10 +158,9 @@
 }
 
 void
-AdmittedExchanges::DeliverEnd(std::uint64_t aExchange, TargetOutcome aOutcome)
+AdmittedExchanges::DeliverEnd(std::uint64_t aExchange, const TargetOutcome& aOutcome)
 {
-  this->context.events.Deliver(
-    TargetEnded({ .exchange = aExchange, .outcome = std::move(aOutcome) }));
+  this->context.events.Deliver(TargetEnded({ .exchange = aExchange, .outcome = aOutcome }));
 }
 
 void
--- a/packages/node/admitted_exchanges.h
+++ b/packages/node/admitted_exchanges.h
@@ -53,7 +53,7 @@
   using Calls = std::unordered_map<std::uint64_t, Call>;
 
   void OnTargetDone(std::uint64_t aExchange, OutgoingResult aResult);
-  void DeliverEnd(std::uint64_t aExchange, TargetOutcome aOutcome);
+  void DeliverEnd(std::uint64_t aExchange, const TargetOutcome& aOutcome);
   void EraseWhenIdle(Calls::iterator aCall);
   void Erase(Calls::iterator aCall);
 
--- a/packages/node/entry_exchanges.cc
+++ b/packages/node/entry_exchanges.cc
@@ -143,10 +143,12 @@
 }
 
 void
-EntryExchanges::DeliverEnd(std::uint64_t aExchange, std::uint32_t aAttempt, AttemptOutcome aOutcome)
+EntryExchanges::DeliverEnd(std::uint64_t aExchange,
+                           std::uint32_t aAttempt,
+                           const AttemptOutcome& aOutcome)
 {
   this->context.events.Deliver(
-    AttemptEnded({ .exchange = aExchange, .attempt = aAttempt, .outcome = std::move(aOutcome) }));
+    AttemptEnded({ .exchange = aExchange, .attempt = aAttempt, .outcome = aOutcome }));
 }
 
 void
--- a/packages/node/entry_exchanges.h
+++ b/packages/node/entry_exchanges.h
@@ -72,7 +72,7 @@
                      const std::string& aPeer,
                      OutgoingResult aResult);
   AttemptOutcome Keep(Attempt& aAttempt, WholeAnswer aAnswer);
-  void DeliverEnd(std::uint64_t aExchange, std::uint32_t aAttempt, AttemptOutcome aOutcome);
+  void DeliverEnd(std::uint64_t aExchange, std::uint32_t aAttempt, const AttemptOutcome& aOutcome);
   void EraseWhenIdle(Calls::iterator aCall);
   void Erase(Calls::iterator aCall);
   AfterAnswer After() const;
