--- a/packages/node/metrics.cc
+++ b/packages/node/metrics.cc
@@ -90,7 +90,9 @@
 {
   aOut += std::string("# TYPE ") + aName + " histogram\n";
   for (const std::map<Series, Times>::value_type& entry : this->times) {
-    const auto& [organisation, importance, atEntry] = entry.first;
+    const std::string& organisation = std::get<0>(entry.first);
+    const Importance importance = std::get<1>(entry.first);
+    const bool atEntry = std::get<2>(entry.first);
     const Histogram& histogram = entry.second.*aWhich;
     const std::string labels = "organisation=\"" + Escaped(organisation) + "\",importance=\"" +
                                std::string(ToText(importance)) + "\",hop=\"" +
--- a/packages/node/metrics.h
+++ b/packages/node/metrics.h
@@ -56,6 +56,7 @@
     }
   }
 
+  // NOLINTNEXTLINE(readability-identifier-naming): the name is set by Boost.Accumulators.
   result_type result(boost::accumulators::dont_care /*aUnused*/) const { return this->counts; }
 
 private:
