--- a/packages/node/main.cc
+++ b/packages/node/main.cc
@@ -82,19 +82,13 @@
   options.add_options()("settings",
                         "YAML file with the node's settings",
                         cxxopts::value<std::string>())("help", "Show this text");
-  std::string file;
-  try {
-    const cxxopts::ParseResult arguments = options.parse(aCount, aArguments);
-    if (arguments.count("help") > 0 || arguments.count("settings") == 0) {
-      std::cout << options.help();
-      return arguments.count("help") > 0 ? EXIT_SUCCESS : EXIT_FAILURE;
-    }
-    file = arguments["settings"].as<std::string>();
-  } catch (const std::exception& exception) {
-    std::cerr << exception.what() << '\n';
-    return EXIT_FAILURE;
+  const cxxopts::ParseResult arguments = options.parse(aCount, aArguments);
+  if (arguments.count("help") > 0 || arguments.count("settings") == 0) {
+    std::cout << options.help();
+    return arguments.count("help") > 0 ? EXIT_SUCCESS : EXIT_FAILURE;
   }
-  const wire::YamlResult<NodeSettings> settings = wire::LoadNodeSettings(file);
+  const wire::YamlResult<NodeSettings> settings =
+    wire::LoadNodeSettings(arguments["settings"].as<std::string>());
   if (const YamlError* error = std::get_if<YamlError>(&settings)) {
     const LogWriter log(LogLevel::kInfo, "none");
     log.Write(LogEvent::kSettingsRejected, "reason=\"" + wire::Describe(*error) + "\"");
@@ -110,5 +104,10 @@
 int
 main(int aCount, char** aArguments)
 {
-  return jackdawwind::node::Main(aCount, aArguments);
+  try {
+    return jackdawwind::node::Main(aCount, aArguments);
+  } catch (const std::exception& exception) {
+    std::cerr << "jackdawwind: " << exception.what() << '\n';
+    return EXIT_FAILURE;
+  }
 }
--- a/packages/node/metrics.cc
+++ b/packages/node/metrics.cc
@@ -33,16 +33,6 @@
   return out;
 }
 
-std::string
-Number(double aValue)
-{
-  constexpr int kDigits = 12;
-  std::ostringstream out;
-  out.precision(kDigits);
-  out << aValue;
-  return out.str();
-}
-
 } // namespace
 
 void
@@ -86,50 +76,56 @@
 }
 
 void
-Metrics::AppendHistogram(std::string& aOut, const char* aName, Histogram Times::*aWhich) const
+Metrics::WriteHistogram(std::ostream& aOut, const char* aName, Histogram Times::*aWhich) const
 {
-  aOut += std::string("# TYPE ") + aName + " histogram\n";
+  aOut << "# TYPE " << aName << " histogram\n";
   for (const std::map<Series, Times>::value_type& entry : this->times) {
-    const std::string& organisation = std::get<0>(entry.first);
-    const Importance importance = std::get<1>(entry.first);
-    const bool atEntry = std::get<2>(entry.first);
     const Histogram& histogram = entry.second.*aWhich;
-    const std::string labels = "organisation=\"" + Escaped(organisation) + "\",importance=\"" +
-                               std::string(ToText(importance)) + "\",hop=\"" +
-                               (atEntry ? "entry" : "admitting") + "\"";
+    const std::string labels = LabelsOf(entry.first);
     const BucketCounts& counts = boost::accumulators::extract_result<BucketCountsTag>(histogram);
     for (std::size_t index = 0; index < counts.size(); ++index) {
-      aOut += std::string(aName) + "_bucket{" + labels + ",le=\"" + Number(kBucketSeconds[index]) +
-              "\"} " + std::to_string(counts[index]) + "\n";
+      aOut << aName << "_bucket{" << labels << ",le=\"" << kBucketSeconds[index] << "\"} "
+           << counts[index] << "\n";
     }
-    const std::string count = std::to_string(boost::accumulators::count(histogram));
-    aOut += std::string(aName) + "_bucket{" + labels + ",le=\"+Inf\"} " + count + "\n";
-    aOut += std::string(aName) + "_sum{" + labels + "} " +
-            Number(boost::accumulators::sum(histogram)) + "\n";
-    aOut += std::string(aName) + "_count{" + labels + "} " + count + "\n";
+    const std::size_t count = boost::accumulators::count(histogram);
+    aOut << aName << "_bucket{" << labels << ",le=\"+Inf\"} " << count << "\n"
+         << aName << "_sum{" << labels << "} " << boost::accumulators::sum(histogram) << "\n"
+         << aName << "_count{" << labels << "} " << count << "\n";
   }
 }
 
+std::string
+Metrics::LabelsOf(const Series& aSeries)
+{
+  std::ostringstream out;
+  out << "organisation=\"" << Escaped(std::get<0>(aSeries)) << "\",importance=\""
+      << std::get<1>(aSeries) << "\",hop=\"" << (std::get<2>(aSeries) ? "entry" : "admitting")
+      << "\"";
+  return out.str();
+}
+
 std::string
 Metrics::Text() const
 {
-  std::string out;
-  this->AppendHistogram(out, "jackdawwind_call_seconds", &Times::total);
-  this->AppendHistogram(out, "jackdawwind_queue_seconds", &Times::queued);
-  out += "# TYPE jackdawwind_calls_total counter\n";
+  // Digits of a double that Prometheus reads back without a visible loss.
+  constexpr int kDigits = 12;
+  std::ostringstream out;
+  out.precision(kDigits);
+  this->WriteHistogram(out, "jackdawwind_call_seconds", &Times::total);
+  this->WriteHistogram(out, "jackdawwind_queue_seconds", &Times::queued);
+  out << "# TYPE jackdawwind_calls_total counter\n";
   for (const std::map<ResultCode, std::uint64_t>::value_type& entry : this->results) {
-    out += "jackdawwind_calls_total{result=\"" +
-           std::to_string(static_cast<unsigned>(entry.first)) + "\",code=\"" +
-           std::string(ToText(entry.first)) + "\"} " + std::to_string(entry.second) + "\n";
+    out << "jackdawwind_calls_total{result=\"" << static_cast<unsigned>(entry.first) << "\",code=\""
+        << ToText(entry.first) << "\"} " << entry.second << "\n";
   }
-  out += "# TYPE jackdawwind_retries_total counter\njackdawwind_retries_total " +
-         std::to_string(this->retries) + "\n";
-  out += "# TYPE jackdawwind_drops_total counter\n";
+  out << "# TYPE jackdawwind_retries_total counter\n"
+      << "jackdawwind_retries_total " << this->retries << "\n"
+      << "# TYPE jackdawwind_drops_total counter\n";
   for (const std::map<std::string, std::uint64_t>::value_type& entry : this->drops) {
-    out += "jackdawwind_drops_total{ring=\"" + Escaped(entry.first) + "\"} " +
-           std::to_string(entry.second) + "\n";
+    out << "jackdawwind_drops_total{ring=\"" << Escaped(entry.first) << "\"} " << entry.second
+        << "\n";
   }
-  return out;
+  return out.str();
 }
 
 } // namespace jackdawwind::node
--- a/packages/node/metrics.h
+++ b/packages/node/metrics.h
@@ -14,6 +14,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <ostream>
 #include <set>
 #include <string>
 #include <tuple>
@@ -98,7 +99,8 @@
   using Series = std::tuple<std::string, Importance, bool>;
 
   std::string OrganisationLabel(const std::string& aOrganisation);
-  void AppendHistogram(std::string& aOut, const char* aName, Histogram Times::*aWhich) const;
+  void WriteHistogram(std::ostream& aOut, const char* aName, Histogram Times::*aWhich) const;
+  static std::string LabelsOf(const Series& aSeries);
 
   std::set<std::string> organisations;
   std::map<Series, Times> times;
