--- a/packages/decisions/overload/concurrency_limit.h
+++ b/packages/decisions/overload/concurrency_limit.h
@@ -53,6 +53,7 @@
   Duration Minimum() const { return this->minimum; }
 
 private:
+  double ColdLimit() const;
   void Count(Time aEnded);
   bool WindowIsFull(Time aNow) const;
   void CloseWindow(Time aNow);
@@ -64,13 +65,17 @@
 
   std::uint32_t slots = 1;
   double limit = 1;
+  /// From a cold start until the first sign of overload.
+  bool cold = true;
   Duration minimum{};
-  Time decreased = Time::min();
+  /// Only calls that started since the last change of the limit count.
+  Time counted = Time::min();
 
   // The present window.
   std::uint32_t samples = 0;
   std::uint32_t refusals = 0;
   Duration sum{};
+  bool limited = false;
   Time windowStarted{};
 
   // A run of decreases for latency: limit and mean latency at its begin; zero when none is under
