--- a/packages/node/metrics.h
+++ b/packages/node/metrics.h
@@ -14,6 +14,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <ostream>
 #include <set>
 #include <string>
 #include <tuple>
@@ -56,6 +57,7 @@
     }
   }
 
+  // NOLINTNEXTLINE(readability-identifier-naming): the name is set by Boost.Accumulators.
   result_type result(boost::accumulators::dont_care /*aUnused*/) const { return this->counts; }
 
 private:
@@ -97,7 +99,8 @@
   using Series = std::tuple<std::string, Importance, bool>;
 
   std::string OrganisationLabel(const std::string& aOrganisation);
-  void AppendHistogram(std::string& aOut, const char* aName, Histogram Times::*aWhich) const;
+  void WriteHistogram(std::ostream& aOut, const char* aName, Histogram Times::*aWhich) const;
+  static std::string LabelsOf(const Series& aSeries);
 
   std::set<std::string> organisations;
   std::map<Series, Times> times;
