--- a/packages/decisions/calls/entry_calls.cc
+++ b/packages/decisions/calls/entry_calls.cc
@@ -416,6 +416,7 @@
   const EntryCall& call = found->second;
   if (call.attempt > 0) {
     aEffects.push_back(CancelAttempt({ .exchange = found->first, .attempt = call.attempt }));
+    this->modules.picker.NoteCancelled(call.node);
     this->modules.claims.KeepClaimed(found->first);
   } else {
     this->modules.rate.Abandon(found->first);
--- a/packages/decisions/rate/rate_limiter.h
+++ b/packages/decisions/rate/rate_limiter.h
@@ -10,8 +10,8 @@
 //
 // Guarantee: calls taken over the whole fleet in any window never exceed rate x window + burst,
 // under any loss, delay, duplication or reordering of messages, pauses, restarts and partitions,
-// provided that clocks count pauses and run within 0.5% of each other, that no more nodes of a domain
-// run than its configured hosts, and that a configuration reaches every steward within 10 s
+// provided that clocks count pauses and run within 0.5% of each other, that no more nodes of a
+// domain run than its configured hosts, and that a configuration reaches every steward within 10 s
 // (docs/rate.md).
 //
 // Cost: a request costs O(log organisations) and no message while tokens are at hand. An idle node
--- a/packages/operator/tests/command_line_test.cc
+++ b/packages/operator/tests/command_line_test.cc
@@ -85,7 +85,9 @@
     { { "apply", "--help" }, ExitCode::kOk, "--log" },
     { { "check", kExamples + "/adeyemi" }, ExitCode::kOk, "valid: 18 items" },
     { { "check", kExamples + "/vestkyst" }, ExitCode::kOk, "valid: 18 items" },
-    { { "check", kExamples }, ExitCode::kInvalidConfiguration, "node.yaml:17: admin: expected no such field" },
+    { { "check", kExamples },
+      ExitCode::kInvalidConfiguration,
+      "node.yaml:17: admin: expected no such field" },
     { { "check", "/nonexistent", "--json" }, ExitCode::kInvalidConfiguration, "yaml_error" },
     { { "apply", kExamples + "/adeyemi", "--log", log }, ExitCode::kOk, "accepted" },
     { { "apply", kExamples + "/adeyemi", "--log", log }, ExitCode::kOk, "nothing to change" },
@@ -111,8 +113,7 @@
 
 TEST(CommandLine, ExampleOfNodeSettingsLoads)
 {
-  const wire::YamlResult<NodeSettings> settings =
-    wire::LoadNodeSettings(kExamples + "/node.yaml");
+  const wire::YamlResult<NodeSettings> settings = wire::LoadNodeSettings(kExamples + "/node.yaml");
   ASSERT_TRUE(std::holds_alternative<NodeSettings>(settings))
     << wire::Describe(std::get<YamlError>(settings));
   EXPECT_EQ(std::get<NodeSettings>(settings).Node(), "ikeja-1");
--- /dev/null
+++ b/tests/process/failure_test.cc
@@ -0,0 +1,222 @@
+// Kills, freezes, silent connections, drains and log failures against real processes.
+#include <atomic>
+#include <csignal>
+#include <future>
+#include <set>
+#include <thread>
+
+#include <gtest/gtest.h>
+
+#include "process/fleet.h"
+
+namespace jackdawwind::tests {
+namespace {
+
+constexpr const char* kSlow = R"({"service_ms":1500})";
+constexpr const char* kFast = R"({"service_ms":0})";
+
+std::future<HttpAnswer>
+CallLater(const Fleet& aFleet, const std::string& aNode, const HttpRequest& aRequest)
+{
+  return std::async(std::launch::async,
+                    [&aFleet, aNode, aRequest] { return aFleet.Call(aNode, aRequest); });
+}
+
+/// Calls one node over and over until stopped; counts what was answered.
+class Load
+{
+public:
+  Load(const Fleet& aFleet, std::string aNode, HttpRequest aRequest)
+    : thread([this, &aFleet, node = std::move(aNode), request = std::move(aRequest)] {
+      while (!this->stop.load()) {
+        const HttpAnswer answer = aFleet.Call(node, request);
+        ++this->calls;
+        if (answer.status != 200) {
+          ++this->failures;
+          this->lastFailure = answer.body;
+        }
+      }
+    })
+  {
+  }
+  ~Load() { this->Stop(); }
+  Load(const Load&) = delete;
+  Load& operator=(const Load&) = delete;
+
+  void Stop()
+  {
+    this->stop.store(true);
+    if (this->thread.joinable()) {
+      this->thread.join();
+    }
+  }
+
+  std::atomic<int> calls{ 0 };
+  std::atomic<int> failures{ 0 };
+  /// Valid after Stop.
+  std::string lastFailure;
+
+private:
+  std::atomic<bool> stop{ false };
+  std::thread thread;
+};
+
+// Guards against a booking that is sent again after the node that dispatched it was killed or
+// froze, and against an idempotent call that is not.
+TEST(Failure, AKilledOrFrozenNodeRunsNoBookingTwice)
+{
+  for (const int signal : { SIGKILL, SIGSTOP }) {
+    SCOPED_TRACE(signal == SIGKILL ? "killed" : "frozen");
+    Fleet fleet;
+    fleet.StartTwoDomains();
+    fleet.SetTargetFaults("a2", kSlow);
+    fleet.SetTargetFaults("b2", kSlow);
+    std::future<HttpAnswer> booking = CallLater(fleet, "a1", Booking("booking", "k"));
+    std::future<HttpAnswer> lookup = CallLater(fleet, "a1", Tagged("/fuel/levels", "lookup"));
+    ASSERT_TRUE(WaitFor([&fleet] {
+      return fleet.Executions("fuel", "/book", "booking") + fleet.Running("a2") >= 2;
+    }));
+    fleet.NodeProcess("a2").Signal(signal);
+    const HttpAnswer booked = booking.get();
+    EXPECT_NE(booked.status, 200U);
+    EXPECT_EQ(booked.Run(), "unknown") << booked.body;
+    EXPECT_EQ(lookup.get().status, 200U) << "the look-up is sent again to the other domain";
+    EXPECT_LE(fleet.Executions("fuel", "/book", "booking"), 1);
+    const HttpAnswer repeat = fleet.Call("b1", Booking("booking", "k"));
+    EXPECT_EQ(repeat.status, 409U) << repeat.body;
+    EXPECT_LE(fleet.Executions("fuel", "/book", "booking"), 1);
+    EXPECT_LE(fleet.Executions("fuel", "/levels", "lookup"), 4) << "one call and three re-sends";
+  }
+}
+
+// Guards against calls that wait for their whole timeout on connections that went silent.
+TEST(Failure, SilentConnectionsAreLeftAndNewOnesUsed)
+{
+  Fleet fleet;
+  fleet.StartTwoDomains();
+  fleet.SetTargetFaults("b1", kSlow);
+  for (int call = 0; call < 10; ++call) {
+    ASSERT_EQ(fleet.Call("a2", Tagged("/hires/x", "before")).status, 200U);
+  }
+  fleet.SetRelay("a1", R"({"mode":"silent"})");
+  for (int call = 0; call < 5; ++call) {
+    EXPECT_EQ(fleet.Call("a2", Tagged("/hires/x", "after")).status, 200U);
+  }
+}
+
+// Guards against requests that a graceful shutdown cuts, and against a process that does not end.
+TEST(Failure, SigtermCutsNoRequest)
+{
+  Fleet fleet;
+  fleet.StartTwoDomains();
+  fleet.SetTargetFaults("b1", R"({"service_ms":100})");
+  fleet.SetTargetFaults("a1", R"({"service_ms":100})");
+  Load first(fleet, "a2", Tagged("/hires/x", "load"));
+  Load second(fleet, "b2", Tagged("/hires/x", "load"));
+  ASSERT_TRUE(WaitFor([&first, &second] { return first.calls > 10 && second.calls > 10; }));
+  fleet.NodeProcess("b1").Signal(SIGTERM);
+  EXPECT_EQ(fleet.NodeProcess("b1").Wait(), 0);
+  const int then = first.calls + second.calls;
+  ASSERT_TRUE(WaitFor([&first, &second, then] { return first.calls + second.calls > then + 20; }));
+  first.Stop();
+  second.Stop();
+  EXPECT_EQ(first.failures, 0) << first.lastFailure;
+  EXPECT_EQ(second.failures, 0) << second.lastFailure;
+}
+
+// Guards against work for a target that announced that it drains.
+TEST(Failure, ADrainingTargetGetsNoNewWork)
+{
+  Fleet fleet;
+  fleet.StartTwoDomains();
+  fleet.DrainTarget("a2");
+  ASSERT_TRUE(WaitFor([&fleet] {
+    for (const char* node : { "a1", "a2", "b1", "b2" }) {
+      for (const Json::Value& member : fleet.Status(node)["members"]) {
+        if (member["address"]["node"] == "a2" && member["target_state"] != "draining") {
+          return false;
+        }
+      }
+    }
+    return true;
+  }));
+  const int before = fleet.ExecutionsAt("a2");
+  for (const char* node : { "a1", "a2", "b1", "b2" }) {
+    for (int call = 0; call < 5; ++call) {
+      EXPECT_EQ(fleet.Call(node, Tagged("/fuel/levels", "drained")).status, 200U);
+    }
+  }
+  EXPECT_EQ(fleet.ExecutionsAt("a2"), before);
+}
+
+// Guards against two accepted changes on one revision and nodes that end on different revisions.
+TEST(Failure, RacingOperatorsHaveOneWinnerPerRevision)
+{
+  Fleet fleet;
+  fleet.StartTwoDomains();
+  fleet.SetLogFaults(R"({"mode":"slow","delay_ms":200})");
+  constexpr int kOperators = 4;
+  std::vector<std::future<ProgramResult>> runs;
+  for (int index = 0; index < kOperators; ++index) {
+    std::map<std::string, std::string> files = fleet.BaseConfiguration();
+    files["60-extra.yaml"] =
+      "organisations:\n  - {name: extra" + std::to_string(index) + ", rate: 1, burst: 1}\n";
+    runs.push_back(std::async(std::launch::async, [&fleet, files, index] {
+      return fleet.Apply(files, std::to_string(index));
+    }));
+  }
+  int accepted = 0;
+  for (std::future<ProgramResult>& run : runs) {
+    const ProgramResult result = run.get();
+    EXPECT_TRUE(result.status == 0 || result.status == 3) << result.status << result.output;
+    accepted += result.status == 0 ? 1 : 0;
+  }
+  EXPECT_GE(accepted, 1);
+  fleet.SetLogFaults(R"({"mode":"none"})");
+  EXPECT_TRUE(WaitFor([&fleet] { return fleet.Revisions().size() == 1; }));
+}
+
+// Guards against a configuration that reverts or is lost when the log is away, loses answers and
+// expires its records, and against a new node that cannot start from what is left.
+TEST(Failure, ConfigurationSurvivesOutageLostAnswersAndExpiry)
+{
+  Fleet fleet;
+  fleet.StartTwoDomains();
+  fleet.SetLogFaults(R"({"mode":"lose_append_answers","count":1})");
+  std::map<std::string, std::string> files = fleet.BaseConfiguration();
+  files["60-extra.yaml"] = "organisations:\n  - {name: extra, rate: 1, burst: 1}\n";
+  const ProgramResult applied = fleet.Apply(files);
+  ASSERT_EQ(applied.status, 0) << applied.output;
+  ASSERT_TRUE(WaitFor([&fleet] { return fleet.Revisions().size() == 1; }));
+  const std::string revision = *fleet.Revisions().begin();
+  fleet.SetLogFaults(R"({"mode":"refuse"})");
+  std::this_thread::sleep_for(std::chrono::seconds(2));
+  EXPECT_EQ(fleet.Call("b2", Tagged("/fuel/levels", "outage")).status, 200U);
+  fleet.SetLogFaults(R"({"stream":"control","expire_before":1000000})");
+  fleet.SetLogFaults(R"({"mode":"none"})");
+  fleet.AddNode({ "b3", "sharada", "kano", "" });
+  EXPECT_TRUE(WaitFor([&fleet, &revision] { return fleet.Status("b3")["revision"] == revision; }));
+  EXPECT_EQ(fleet.Revisions(), std::set<std::string>{ revision });
+}
+
+// Guards against processes that die of input that is not HTTP or breaks a limit.
+TEST(Failure, BadInputIsRefusedAndTheNodeLives)
+{
+  Fleet fleet;
+  fleet.StartTwoDomains();
+  const std::string longText(40'000, 'x');
+  const HttpAnswer header =
+    fleet.Call("a1", { .path = "/fuel/levels", .headers = { { "X-Long", longText } } });
+  EXPECT_EQ(header.Result(), 101);
+  const HttpAnswer body = fleet.Call(
+    "a1", { .method = "POST", .path = "/fuel/book", .body = std::string(9'000'000, 'x') });
+  EXPECT_EQ(body.Result(), 102);
+  EXPECT_EQ(SendRaw(fleet.Port("a1", "callers"), "\x16\x03\x01 not http\r\n\r\n").Result(), 100);
+  SendRaw(fleet.Port("a1", "peer_control"), "POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\n{]}");
+  SendRaw(fleet.Port("a1", "peer_calls"), "GET /fuel/x HTTP/1.1\r\nX-Jackdaw-Context: {}\r\n\r\n");
+  SendRaw(fleet.Port("a1", "target"), "PUT /target HTTP/1.1\r\nContent-Length: 2\r\n\r\n[]");
+  EXPECT_EQ(fleet.Call("a1", Tagged("/fuel/levels", "alive")).status, 200U);
+}
+
+} // namespace
+} // namespace jackdawwind::tests
--- a/tests/process/fleet.cc
+++ b/tests/process/fleet.cc
@@ -75,7 +75,7 @@
 
 } // namespace
 
-struct Fleet::Running
+struct Fleet::Member
 {
   FleetNode spec;
   std::unique_ptr<ChildProcess> relay;
@@ -105,7 +105,7 @@
 void
 Fleet::AddNode(const FleetNode& aNode)
 {
-  std::unique_ptr<Running> running = std::make_unique<Running>();
+  std::unique_ptr<Member> running = std::make_unique<Member>();
   running->spec = aNode;
   std::uint16_t callPort = 0;
   std::uint16_t advertised = 0;
@@ -135,6 +135,22 @@
   this->nodes[aNode.node] = std::move(running);
 }
 
+void
+Fleet::StartTwoDomains()
+{
+  const std::vector<std::string> child{ "--child-path", "/fuel/levels" };
+  this->AddNode({ "a1", "ikeja", "lagos", "hires", child, true });
+  this->AddNode({ "a2", "ikeja", "lagos", "fuel" });
+  this->AddNode({ "b1", "sharada", "kano", "hires", child });
+  this->AddNode({ "b2", "sharada", "kano", "fuel" });
+  const ProgramResult applied = this->Apply(this->BaseConfiguration());
+  if (applied.status != 0) {
+    std::cerr << "jackdawctl apply: " << applied.output << '\n';
+    std::abort();
+  }
+  this->WaitUntilServing();
+}
+
 std::string
 Fleet::WriteSettings(const FleetNode& aNode,
                      std::uint16_t aCallPort,
@@ -164,7 +180,7 @@
   std::map<std::string, std::set<std::string>> hosts;
   std::map<std::string, std::string> regions;
   std::set<std::string> services;
-  for (const std::pair<const std::string, std::unique_ptr<Running>>& entry : this->nodes) {
+  for (const std::pair<const std::string, std::unique_ptr<Member>>& entry : this->nodes) {
     const FleetNode& node = entry.second->spec;
     hosts[node.domain].insert(node.node);
     regions[node.domain] = node.region;
@@ -207,9 +223,9 @@
 }
 
 ProgramResult
-Fleet::Apply(const std::map<std::string, std::string>& aFiles) const
+Fleet::Apply(const std::map<std::string, std::string>& aFiles, const std::string& aName) const
 {
-  const std::string path = this->folder + "/configuration";
+  const std::string path = this->folder + "/" + aName;
   std::filesystem::remove_all(path);
   std::filesystem::create_directory(path);
   for (const std::pair<const std::string, std::string>& file : aFiles) {
@@ -226,11 +242,11 @@
   const std::size_t targets = static_cast<std::size_t>(
     std::count_if(this->nodes.begin(),
                   this->nodes.end(),
-                  [](const std::pair<const std::string, std::unique_ptr<Running>>& aEntry) {
+                  [](const std::pair<const std::string, std::unique_ptr<Member>>& aEntry) {
                     return aEntry.second->target != nullptr;
                   }));
   const bool serving = WaitFor([this, targets] {
-    for (const std::pair<const std::string, std::unique_ptr<Running>>& entry : this->nodes) {
+    for (const std::pair<const std::string, std::unique_ptr<Member>>& entry : this->nodes) {
       const Json::Value status = this->Status(entry.first);
       std::size_t ready = 0;
       for (const Json::Value& member : status["members"]) {
@@ -244,7 +260,7 @@
     return this->EveryDomainHasASteward() && this->EveryNodeServesACall();
   });
   if (!serving) {
-    for (const std::pair<const std::string, std::unique_ptr<Running>>& entry : this->nodes) {
+    for (const std::pair<const std::string, std::unique_ptr<Member>>& entry : this->nodes) {
       std::cerr << entry.first << ": " << this->Status(entry.first).toStyledString() << '\n';
     }
     std::cerr << "the fleet does not serve\n";
@@ -257,7 +273,7 @@
 {
   std::set<std::string> domains;
   std::set<std::string> led;
-  for (const std::pair<const std::string, std::unique_ptr<Running>>& entry : this->nodes) {
+  for (const std::pair<const std::string, std::unique_ptr<Member>>& entry : this->nodes) {
     domains.insert(entry.second->spec.domain);
     if (this->Status(entry.first)["elected"].asBool()) {
       led.insert(entry.second->spec.domain);
@@ -273,7 +289,7 @@
   return std::all_of(
     this->nodes.begin(),
     this->nodes.end(),
-    [this](const std::pair<const std::string, std::unique_ptr<Running>>& aEntry) {
+    [this](const std::pair<const std::string, std::unique_ptr<Member>>& aEntry) {
       const std::string& service = this->nodes.begin()->second->spec.service;
       return this->Call(aEntry.first, { .path = "/" + service + "/warm-up" }).status == 200;
     });
@@ -306,7 +322,7 @@
                   const std::string& aTag) const
 {
   int total = 0;
-  for (const std::pair<const std::string, std::unique_ptr<Running>>& entry : this->nodes) {
+  for (const std::pair<const std::string, std::unique_ptr<Member>>& entry : this->nodes) {
     if (entry.second->spec.service != aService || entry.second->target == nullptr) {
       continue;
     }
@@ -321,13 +337,45 @@
   return total;
 }
 
+int
+Fleet::ExecutionsAt(const std::string& aNode) const
+{
+  int total = 0;
+  for (const Json::Value& execution : this->Counts(aNode)["executions"]) {
+    total += execution["count"].asInt();
+  }
+  return total;
+}
+
+int
+Fleet::Running(const std::string& aNode) const
+{
+  return this->Counts(aNode)["running"].asInt();
+}
+
+Json::Value
+Fleet::Counts(const std::string& aNode) const
+{
+  return ParseJson(Send(this->nodes.at(aNode)->targetPort, { .path = "/counts" }).body);
+}
+
+std::set<std::string>
+Fleet::Revisions() const
+{
+  std::set<std::string> revisions;
+  for (const std::pair<const std::string, std::unique_ptr<Member>>& entry : this->nodes) {
+    revisions.insert(this->Status(entry.first)["revision"].asString());
+  }
+  return revisions;
+}
+
 bool
 Fleet::AnyTargetSawAKey() const
 {
   return std::any_of(
     this->nodes.begin(),
     this->nodes.end(),
-    [](const std::pair<const std::string, std::unique_ptr<Running>>& aEntry) {
+    [](const std::pair<const std::string, std::unique_ptr<Member>>& aEntry) {
       return aEntry.second->target != nullptr &&
              ParseJson(Send(aEntry.second->targetPort, { .path = "/counts" }).body)["saw_key"]
                .asBool();
@@ -393,6 +441,21 @@
   Send(this->nodes.at(aNode)->targetPort, { .method = "POST", .path = "/drain" });
 }
 
+HttpRequest
+Tagged(const std::string& aPath, const std::string& aTag)
+{
+  return { .path = aPath, .headers = { { "X-Request-Tag", aTag } } };
+}
+
+HttpRequest
+Booking(const std::string& aTag, const std::string& aIdempotencyKey)
+{
+  return { .method = "POST",
+           .path = "/fuel/book",
+           .headers = { { "X-Request-Tag", aTag }, { "Idempotency-Key", aIdempotencyKey } },
+           .body = "one dryer" };
+}
+
 bool
 WaitFor(const std::function<bool()>& aCondition)
 {
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -42,10 +42,15 @@
   ~Fleet();
 
   void AddNode(const FleetNode& aNode);
+  /// Nodes a1 (hires) and a2 (fuel) in one domain, b1 and b2 alike in another, serving; hires makes
+  /// a child call to fuel. Other nodes reach a1's call port through a relay.
+  void StartTwoDomains();
   /// Configuration folder for the nodes added so far: two organisations with a key each.
   std::map<std::string, std::string> BaseConfiguration() const;
   /// Runs "jackdawctl apply" on a folder with these files.
-  ProgramResult Apply(const std::map<std::string, std::string>& aFiles) const;
+  /// Folders of applies that run side by side need different names.
+  ProgramResult Apply(const std::map<std::string, std::string>& aFiles,
+                      const std::string& aName = "configuration") const;
   /// Waits until every node is ready, sees every other node and every target, and has a steward.
   void WaitUntilServing();
 
@@ -60,6 +65,11 @@
   int Executions(const std::string& aService,
                  const std::string& aPath,
                  const std::string& aTag) const;
+  /// Executions of all paths at the target of a node, and its requests in progress.
+  int ExecutionsAt(const std::string& aNode) const;
+  int Running(const std::string& aNode) const;
+  /// Revisions that the running nodes report.
+  std::set<std::string> Revisions() const;
   /// Whether any target ever saw a tenant key.
   bool AnyTargetSawAKey() const;
 
@@ -74,11 +84,12 @@
   void DrainTarget(const std::string& aNode) const;
 
 private:
-  struct Running;
+  struct Member;
 
   std::string WriteSettings(const FleetNode& aNode,
                             std::uint16_t aCallPort,
                             std::uint16_t aAdvertised) const;
+  Json::Value Counts(const std::string& aNode) const;
   bool EveryDomainHasASteward() const;
   bool EveryNodeServesACall() const;
 
@@ -86,10 +97,15 @@
   std::unique_ptr<ChildProcess> log;
   std::uint16_t logPort = 0;
   std::vector<std::string> seeds;
-  std::map<std::string, std::unique_ptr<Running>> nodes;
+  std::map<std::string, std::unique_ptr<Member>> nodes;
   std::map<std::string, std::string> keys;
 };
 
+/// A look-up whose executions are counted under a tag.
+HttpRequest Tagged(const std::string& aPath, const std::string& aTag);
+/// A booking at fuel under an idempotency key.
+HttpRequest Booking(const std::string& aTag, const std::string& aIdempotencyKey);
+
 /// Waits until the condition holds; false after a time that only a broken system needs.
 bool WaitFor(const std::function<bool()>& aCondition);
 
--- a/tests/process/http.cc
+++ b/tests/process/http.cc
@@ -1,10 +1,12 @@
 #include "process/http.h"
 
+#include <cctype>
 #include <cstdlib>
 #include <optional>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -70,10 +72,6 @@
 HttpAnswer
 HttpConnection::Send(const HttpRequest& aRequest)
 {
-  HttpAnswer answer;
-  if (!this->impl->open) {
-    return answer;
-  }
   http::request<http::string_body> request;
   request.method_string(aRequest.method);
   request.target(aRequest.path);
@@ -84,10 +82,31 @@
   }
   request.body() = aRequest.body;
   request.prepare_payload();
+  if (this->impl->open) {
+    // A refusal may come before the whole request was taken; reading tells.
+    this->impl->Complete(
+      [this, &request](auto aDone) { http::async_write(this->impl->stream, request, aDone); });
+  }
+  return this->ReadAnswer();
+}
+
+HttpAnswer
+HttpConnection::SendRaw(const std::string& aBytes)
+{
+  if (this->impl->open) {
+    this->impl->Complete([this, &aBytes](auto aDone) {
+      asio::async_write(this->impl->stream, asio::buffer(aBytes), aDone);
+    });
+  }
+  return this->ReadAnswer();
+}
+
+HttpAnswer
+HttpConnection::ReadAnswer()
+{
+  HttpAnswer answer;
   http::response<http::string_body> response;
-  this->impl->open = this->impl->Complete([this, &request](auto aDone) {
-    http::async_write(this->impl->stream, request, aDone);
-  }) && this->impl->Complete([this, &response](auto aDone) {
+  this->impl->open = this->impl->open && this->impl->Complete([this, &response](auto aDone) {
     http::async_read(this->impl->stream, this->impl->buffer, response, aDone);
   });
   if (!this->impl->open) {
@@ -113,4 +132,11 @@
   return connection.Send(aRequest);
 }
 
+HttpAnswer
+SendRaw(std::uint16_t aPort, const std::string& aBytes)
+{
+  HttpConnection connection(aPort);
+  return connection.SendRaw(aBytes);
+}
+
 } // namespace jackdawwind::tests
--- a/tests/process/http.h
+++ b/tests/process/http.h
@@ -32,6 +32,9 @@
 /// Sends one request on a connection of its own to 127.0.0.1; waits 20 s for the answer at most.
 HttpAnswer Send(std::uint16_t aPort, const HttpRequest& aRequest);
 
+/// Sends bytes as they are to 127.0.0.1 and reads one answer.
+HttpAnswer SendRaw(std::uint16_t aPort, const std::string& aBytes);
+
 /// One connection that stays open between requests.
 class HttpConnection
 {
@@ -42,8 +45,11 @@
   HttpConnection& operator=(const HttpConnection&) = delete;
 
   HttpAnswer Send(const HttpRequest& aRequest);
+  HttpAnswer SendRaw(const std::string& aBytes);
 
 private:
+  HttpAnswer ReadAnswer();
+
   struct Impl;
   std::unique_ptr<Impl> impl;
 };
--- a/tests/process/path_test.cc
+++ b/tests/process/path_test.cc
@@ -1,7 +1,5 @@
 // The whole path as separate processes: a caller, nodes in two failure domains, targets with a
 // child call, the log service and the operators' command.
-#include <csignal>
-
 #include <gtest/gtest.h>
 
 #include "process/fleet.h"
@@ -12,40 +10,11 @@
 constexpr int kOk = 0;
 constexpr int kUnknownKey = 106;
 
-/// Two nodes in each of two domains; hires makes a child call to fuel.
-void
-StartFleet(Fleet& aFleet)
-{
-  const std::vector<std::string> child{ "--child-path", "/fuel/levels" };
-  aFleet.AddNode({ "a1", "ikeja", "lagos", "hires", child });
-  aFleet.AddNode({ "a2", "ikeja", "lagos", "fuel" });
-  aFleet.AddNode({ "b1", "sharada", "kano", "hires", child });
-  aFleet.AddNode({ "b2", "sharada", "kano", "fuel" });
-  const ProgramResult applied = aFleet.Apply(aFleet.BaseConfiguration());
-  ASSERT_EQ(applied.status, 0) << applied.output;
-  aFleet.WaitUntilServing();
-}
-
-HttpRequest
-Tagged(const std::string& aPath, const std::string& aTag)
-{
-  return { .path = aPath, .headers = { { "X-Request-Tag", aTag } } };
-}
-
-HttpRequest
-Booking(const std::string& aTag, const std::string& aIdempotencyKey)
-{
-  return { .method = "POST",
-           .path = "/fuel/book",
-           .headers = { { "X-Request-Tag", aTag }, { "Idempotency-Key", aIdempotencyKey } },
-           .body = "one dryer" };
-}
-
 // Guards against a path that works only inside one process, and against keys that reach a target.
 TEST(Path, ACallWithAChildCallCrossesNodesAndNoTargetSeesTheKey)
 {
   Fleet fleet;
-  StartFleet(fleet);
+  fleet.StartTwoDomains();
   for (const char* node : { "a1", "a2", "b1", "b2" }) {
     const HttpAnswer answer = fleet.Call(node, Tagged("/hires/available", node));
     EXPECT_EQ(answer.status, 200U) << answer.body;
@@ -59,7 +28,7 @@
 TEST(Path, RefusalsAreNumberedAndNothingRuns)
 {
   Fleet fleet;
-  StartFleet(fleet);
+  fleet.StartTwoDomains();
   struct Case
   {
     const char* name;
@@ -94,7 +63,7 @@
 TEST(Path, AKeyedBookingRunsOnceWhateverIsRepeated)
 {
   Fleet fleet;
-  StartFleet(fleet);
+  fleet.StartTwoDomains();
   fleet.SetLogFaults(R"({"mode":"lose_append_answers","count":2})");
   EXPECT_EQ(fleet.Call("a1", Booking("first", "k1")).status, 200U);
   for (const char* node : { "a1", "a2", "b1", "b2" }) {
@@ -115,7 +84,7 @@
 TEST(Path, ARevokedKeyStopsOnOpenConnections)
 {
   Fleet fleet;
-  StartFleet(fleet);
+  fleet.StartTwoDomains();
   HttpConnection connection(fleet.Port("b2", "callers"));
   HttpRequest request = Tagged("/fuel/levels", "revoked");
   request.headers["X-Tenant-Key"] = fleet.Key("north");
