Advertise the configured call port

Cause: a relay or an address translation between nodes needs another port than the one the node listens on. Result: compiled; the node's 20 tests pass, none of them covers the setting.

--- a/packages/node/node_process.cc
+++ b/packages/node/node_process.cc
@@ -50,10 +50,12 @@
   const std::chrono::microseconds wallTime = WallTime();
   NodeCore::Options options;
   options.settings = this->settings;
-  options.self = PeerAddress({ .node = this->settings.Node(),
-                               .host = this->settings.AdvertiseHost(),
-                               .callPort = this->proxy->ListenPorts().peerCalls,
-                               .controlPort = this->peers->Port() });
+  const std::uint32_t advertised = this->settings.AdvertiseCallPort();
+  options.self =
+    PeerAddress({ .node = this->settings.Node(),
+                  .host = this->settings.AdvertiseHost(),
+                  .callPort = advertised != 0 ? advertised : this->proxy->ListenPorts().peerCalls,
+                  .controlPort = this->peers->Port() });
   options.incarnation = static_cast<std::uint64_t>(wallTime.count());
   std::random_device device;
   constexpr unsigned kWordBits = 32;
