Measure added latency, control cost and decision cost

The published targets (1.7 ms added at p99, 3% of a core, 256 MB and 3 KB/s per node) had no program that measures them. added_latency and control_cost run the real programs on loopback, the latter with a relay that counts control bytes because the nodes' metrics have no such counter; decision_cost times the core's events in simulated time.

--- /dev/null
+++ b/bench/control_cost.cc
@@ -0,0 +1,373 @@
+// Measures what idle nodes cost: control bytes, CPU time and memory per node, and the time from
+// "jackdawctl apply" to the new revision at every node.
+//
+//   control_cost [NODES...]        prints a Markdown table; 4, 8, 16 and 32 nodes by default
+//
+// Runs the real programs on loopback: a log service and nodes without targets in four domains of
+// two regions. The nodes' metrics have no counter of control bytes, so the nodes advertise an
+// address at which a relay in this program counts what passes. Every byte has one sender: bytes per
+// node are all bytes by the number of nodes. Stops by itself when its time is over.
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <memory>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <variant>
+#include <vector>
+
+#include <json/value.h>
+
+#include "bench/counting_relay.h"
+#include "bench/process_usage.h"
+#include "process/child_process.h"
+#include "process/http.h"
+#include "wire/codec.h"
+
+namespace jackdawwind::bench {
+namespace {
+
+using SteadyClock = std::chrono::steady_clock;
+
+constexpr std::size_t kDomains = 4;
+constexpr int kApplies = 3;
+constexpr std::chrono::seconds kIdle{ 10 };
+/// Lets the exchanges that follow the nodes' start end before the measurement.
+constexpr std::chrono::seconds kSettle{ 5 };
+constexpr std::chrono::seconds kPatience{ 30 };
+constexpr std::chrono::seconds kTotalTime{ 170 };
+constexpr const char* kAdminToken = "bench-admin-token";
+
+/// Port after a name in a program's first line: "listening 4711" or "callers=4711 target=4712".
+std::uint16_t
+PortIn(const std::string& aLine, const std::string& aName)
+{
+  std::string line = aLine;
+  std::replace(line.begin(), line.end(), '=', ' ');
+  std::istringstream words(line);
+  std::string word;
+  while (words >> word) {
+    if (word == aName && words >> word) {
+      return static_cast<std::uint16_t>(std::atoi(word.c_str()));
+    }
+  }
+  std::fprintf(stderr, "no port of %s in: %s\n", aName.c_str(), aLine.c_str());
+  std::abort();
+}
+
+bool
+WaitFor(const std::function<bool()>& aCondition, std::chrono::milliseconds aInterval)
+{
+  const SteadyClock::time_point end = SteadyClock::now() + kPatience;
+  while (SteadyClock::now() < end) {
+    if (aCondition()) {
+      return true;
+    }
+    std::this_thread::sleep_for(aInterval);
+  }
+  return false;
+}
+
+double
+SecondsSince(SteadyClock::time_point aStart)
+{
+  return std::chrono::duration<double>(SteadyClock::now() - aStart).count();
+}
+
+struct Result
+{
+  double peerBytes = 0;
+  double logBytes = 0;
+  double cpuPart = 0;
+  double highestCpuPart = 0;
+  double megabytes = 0;
+  double highestMegabytes = 0;
+  std::vector<double> applySeconds;
+};
+
+class IdleFleet
+{
+public:
+  explicit IdleFleet(std::size_t aSize);
+  ~IdleFleet();
+  IdleFleet(const IdleFleet&) = delete;
+  IdleFleet& operator=(const IdleFleet&) = delete;
+
+  /// Applies a configuration that differs by the rate of an organisation; whether it is accepted.
+  bool Apply(int aRate);
+  /// Whether every node sees every other one, has a configuration and has a steward.
+  bool Formed() const;
+  /// Revision that every node reports; empty when they differ or have none.
+  std::string CommonRevision() const;
+  void MeasureIdle(Result& aResult) const;
+
+private:
+  struct Node
+  {
+    std::unique_ptr<tests::ChildProcess> process;
+    std::uint16_t adminPort = 0;
+    pid_t pid = 0;
+  };
+
+  void AddNode(std::size_t aIndex);
+  static std::string DomainOf(std::size_t aIndex)
+  {
+    return "domain-" + std::to_string(aIndex % kDomains);
+  }
+  static std::string RegionOf(std::size_t aIndex)
+  {
+    return aIndex % kDomains < kDomains / 2 ? "lagos" : "kano";
+  }
+  static Json::Value Status(const Node& aNode);
+
+  std::size_t size;
+  std::string folder;
+  CountingRelay relay;
+  std::unique_ptr<tests::ChildProcess> log;
+  std::uint16_t logPort = 0;
+  std::string seed;
+  std::vector<Node> nodes;
+};
+
+IdleFleet::IdleFleet(std::size_t aSize)
+  : size(aSize)
+{
+  std::string pattern = (std::filesystem::current_path() / "control_cost-XXXXXX").string();
+  this->folder = mkdtemp(pattern.data());
+  this->log = std::make_unique<tests::ChildProcess>("standin_log", std::vector<std::string>{});
+  this->logPort = PortIn(this->log->FirstLine(), "listening");
+  this->relay.Forward(this->logPort, CountingRelay::Kind::kLog);
+  for (std::size_t index = 0; index < aSize; ++index) {
+    this->AddNode(index);
+  }
+}
+
+IdleFleet::~IdleFleet()
+{
+  this->nodes.clear();
+  std::filesystem::remove_all(this->folder);
+}
+
+void
+IdleFleet::AddNode(std::size_t aIndex)
+{
+  const std::string name = "node-" + std::to_string(100 + aIndex);
+  const std::string path = this->folder + "/" + name + ".yaml";
+  std::ofstream(path) << "node: " << name << "\ndomain: " << DomainOf(aIndex)
+                      << "\nregion: " << RegionOf(aIndex)
+                      << "\nadvertise_host: " << CountingRelay::kAddress
+                      << "\ncallers: {port: 0}\ntarget: {port: 0}\npeer_calls: {port: 0}\n"
+                      << "peer_control: {port: 0}\nadmin: {port: 0}\nadmin_token: " << kAdminToken
+                      << "\nfleet_secret: bench-fleet-secret\nlog: {host: "
+                      << CountingRelay::kAddress << ", port: " << this->logPort
+                      << ", timeout_ms: 2000}\nlog_level: error\nseeds: [" << this->seed << "]\n";
+  Node node;
+  node.process = std::make_unique<tests::ChildProcess>(
+    "jackdawwind", std::vector<std::string>{ "--settings", path });
+  const std::string& line = node.process->FirstLine();
+  const std::uint16_t control = PortIn(line, "peer_control");
+  this->relay.Forward(control, CountingRelay::Kind::kPeers);
+  node.adminPort = PortIn(line, "admin");
+  node.pid = FindChild("jackdawwind", "/" + name + ".yaml");
+  if (this->seed.empty()) {
+    this->seed = "{node: " + name + ", host: " + CountingRelay::kAddress +
+                 ", call_port: " + std::to_string(PortIn(line, "peer_calls")) +
+                 ", control_port: " + std::to_string(control) + "}";
+  }
+  this->nodes.push_back(std::move(node));
+}
+
+bool
+IdleFleet::Apply(int aRate)
+{
+  const std::string path = this->folder + "/configuration";
+  std::filesystem::create_directories(path);
+  std::ofstream file(path + "/fleet.yaml");
+  file << "domains:\n";
+  for (std::size_t domain = 0; domain < kDomains; ++domain) {
+    file << "  - {name: " << DomainOf(domain) << ", region: " << RegionOf(domain)
+         << ", hosts: " << this->size / kDomains << ", share: 0.25}\n";
+  }
+  file << "organisations:\n";
+  constexpr int kOrganisations = 8;
+  for (int index = 0; index < kOrganisations; ++index) {
+    file << "  - {name: organisation-" << index << ", rate: " << aRate << ", burst: 1000}\n";
+  }
+  file.close();
+  const tests::ProgramResult result = tests::RunProgram(
+    "jackdawctl", { "apply", path, "--log", "127.0.0.1:" + std::to_string(this->logPort) });
+  if (result.status != 0) {
+    std::fprintf(stderr, "apply ended with %d: %s\n", result.status, result.output.c_str());
+  }
+  return result.status == 0;
+}
+
+Json::Value
+IdleFleet::Status(const Node& aNode)
+{
+  const tests::HttpAnswer answer =
+    tests::Send(aNode.adminPort,
+                { .path = "/status",
+                  .headers = { { "Authorization", std::string("Bearer ") + kAdminToken } } });
+  const wire::Decoded<Json::Value> json = wire::ParseJson(answer.body);
+  const Json::Value* value = std::get_if<Json::Value>(&json);
+  return value == nullptr ? Json::Value(Json::objectValue) : *value;
+}
+
+bool
+IdleFleet::Formed() const
+{
+  std::size_t stewards = 0;
+  for (const Node& node : this->nodes) {
+    const Json::Value status = Status(node);
+    if (status["phase"].asString() != "serving" || status["members"].size() != this->size) {
+      return false;
+    }
+    stewards += status["elected"].asBool() ? 1U : 0U;
+  }
+  return stewards == kDomains;
+}
+
+std::string
+IdleFleet::CommonRevision() const
+{
+  std::string common;
+  for (const Node& node : this->nodes) {
+    const std::string revision = Status(node)["revision"].asString();
+    if (revision.empty() || (!common.empty() && revision != common)) {
+      return "";
+    }
+    common = revision;
+  }
+  return common;
+}
+
+void
+IdleFleet::MeasureIdle(Result& aResult) const
+{
+  std::vector<double> cpu;
+  for (const Node& node : this->nodes) {
+    cpu.push_back(CpuSeconds(node.pid));
+  }
+  const std::uint64_t peerBytes = this->relay.Bytes(CountingRelay::Kind::kPeers);
+  const std::uint64_t logBytes = this->relay.Bytes(CountingRelay::Kind::kLog);
+  const SteadyClock::time_point start = SteadyClock::now();
+  std::this_thread::sleep_for(kIdle);
+  const double seconds = SecondsSince(start);
+  const double nodeSeconds = seconds * static_cast<double>(this->size);
+  aResult.peerBytes =
+    static_cast<double>(this->relay.Bytes(CountingRelay::Kind::kPeers) - peerBytes) / nodeSeconds;
+  aResult.logBytes =
+    static_cast<double>(this->relay.Bytes(CountingRelay::Kind::kLog) - logBytes) / nodeSeconds;
+  std::vector<double> parts;
+  std::vector<double> megabytes;
+  for (std::size_t index = 0; index < this->nodes.size(); ++index) {
+    parts.push_back((CpuSeconds(this->nodes[index].pid) - cpu[index]) / seconds);
+    megabytes.push_back(ResidentMegabytes(this->nodes[index].pid));
+  }
+  aResult.cpuPart = Median(parts);
+  aResult.highestCpuPart = *std::max_element(parts.begin(), parts.end());
+  aResult.megabytes = Median(megabytes);
+  aResult.highestMegabytes = *std::max_element(megabytes.begin(), megabytes.end());
+}
+
+bool
+MeasureApply(IdleFleet& aFleet, int aRate, Result& aResult)
+{
+  constexpr std::chrono::milliseconds kPoll{ 5 };
+  const std::string before = aFleet.CommonRevision();
+  const SteadyClock::time_point start = SteadyClock::now();
+  bool accepted = false;
+  std::thread operatorThread([&] { accepted = aFleet.Apply(aRate); });
+  const bool reached = WaitFor(
+    [&] {
+      const std::string revision = aFleet.CommonRevision();
+      return !revision.empty() && revision != before;
+    },
+    kPoll);
+  const double seconds = SecondsSince(start);
+  operatorThread.join();
+  aResult.applySeconds.push_back(seconds);
+  return accepted && reached;
+}
+
+bool
+PrintRow(std::size_t aSize)
+{
+  constexpr std::chrono::milliseconds kPoll{ 100 };
+  constexpr int kFirstRate = 1000;
+  IdleFleet fleet(aSize);
+  if (!fleet.Apply(kFirstRate) || !WaitFor([&] { return fleet.Formed(); }, kPoll)) {
+    std::fprintf(stderr, "%zu nodes did not form a fleet\n", aSize);
+    return false;
+  }
+  std::this_thread::sleep_for(kSettle);
+  Result result;
+  fleet.MeasureIdle(result);
+  for (int index = 1; index <= kApplies; ++index) {
+    if (!MeasureApply(fleet, kFirstRate + index, result)) {
+      std::fprintf(stderr, "%zu nodes: a change did not reach every node\n", aSize);
+      return false;
+    }
+  }
+  constexpr double kPercent = 100;
+  std::printf("| %zu | %.0f | %.0f | %.2f | %.2f | %.1f | %.1f | %.3f | %.3f |\n",
+              aSize,
+              result.peerBytes,
+              result.logBytes,
+              result.cpuPart * kPercent,
+              result.highestCpuPart * kPercent,
+              result.megabytes,
+              result.highestMegabytes,
+              Median(result.applySeconds),
+              *std::max_element(result.applySeconds.begin(), result.applySeconds.end()));
+  std::fflush(stdout);
+  return true;
+}
+
+int
+Run(const std::vector<std::size_t>& aSizes)
+{
+  std::puts("| nodes | control bytes sent, /node/s | bytes to and from the log, /node/s "
+            "| CPU, % of a core, median node | highest node | resident MiB, median node "
+            "| highest node | apply to revision everywhere, s, median of 3 | slowest |");
+  std::puts("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+  const SteadyClock::time_point start = SteadyClock::now();
+  bool complete = true;
+  for (const std::size_t size : aSizes) {
+    if (SteadyClock::now() - start > kTotalTime - kPatience) {
+      std::fprintf(stderr, "no time left for %zu nodes\n", size);
+      return 1;
+    }
+    complete = PrintRow(size) && complete;
+  }
+  return complete ? 0 : 1;
+}
+
+} // namespace
+} // namespace jackdawwind::bench
+
+int
+main(int aCount, char** aArguments)
+{
+  std::vector<std::size_t> sizes;
+  for (int index = 1; index < aCount; ++index) {
+    // Every domain gets the same number of nodes.
+    const int size = std::atoi(aArguments[index]);
+    if (size < 4 || size > 64 || size % 4 != 0) {
+      std::fprintf(stderr, "not a multiple of 4 from 4 to 64: %s\n", aArguments[index]);
+      return 1;
+    }
+    sizes.push_back(static_cast<std::size_t>(size));
+  }
+  if (sizes.empty()) {
+    sizes = { 4, 8, 16, 32 };
+  }
+  return jackdawwind::bench::Run(sizes);
+}
