--- a/packages/platform/log_client.cc
+++ b/packages/platform/log_client.cc
@@ -9,6 +9,7 @@
 
 #include "platform/post.h"
 #include "wire/codec.h"
+#include "wire/envelope.h"
 #include "wire/generated/records_codec.h"
 
 namespace jackdawwind::platform {
@@ -66,7 +67,7 @@
 LogReadResult
 DecodeReadBody(const LogReadRequest& aRequest, const std::string& aBody)
 {
-  const wire::Decoded<Json::Value> parsed = wire::ParseJson(aBody);
+  const wire::Decoded<Json::Value> parsed = wire::ParseEnvelope(aBody);
   if (std::holds_alternative<wire::DecodeError>(parsed)) {
     return ReadError("the answer is not JSON");
   }
--- a/packages/platform/tests/log_client_test.cc
+++ b/packages/platform/tests/log_client_test.cc
@@ -118,6 +118,30 @@
   }
 }
 
+// Guards against one record that blocks its stream for every reader.
+TEST(LogClient, ADeepRecordDoesNotBlockItsStream)
+{
+  LogServiceThread service;
+  service.Call([](LogService& aService) {
+    Json::Value deep(Json::arrayValue);
+    for (int level = 0; level < 100; ++level) {
+      Json::Value outer(Json::arrayValue);
+      outer.append(deep);
+      deep = outer;
+    }
+    Json::Value records(Json::arrayValue);
+    records.append(deep);
+    records.append(wire::Encode(kRecord));
+    aService.Append("s", records);
+  });
+  const LogReadResult result = ReadFrom(service.Port(), { .stream = "s", .from = 0 });
+  const LogRead* read = std::get_if<LogRead>(&result);
+  ASSERT_NE(read, nullptr);
+  ASSERT_EQ(read->Records().size(), 2U);
+  EXPECT_TRUE(std::holds_alternative<CorruptRecord>(read->Records()[0].GetRecord()));
+  EXPECT_EQ(read->Records()[1].GetRecord(), kRecord);
+}
+
 TEST(LogClient, TakesOnlyProofForRejection)
 {
   struct Case
--- a/packages/wire/codec.cc
+++ b/packages/wire/codec.cc
@@ -19,13 +19,12 @@
 }
 
 Decoded<Json::Value>
-ParseJson(std::string_view aText)
+ParseWith(const JsonRules& aRules, std::string_view aText)
 {
-  // Deeper documents than this are hostile: no schema type nests further.
-  constexpr int kStackLimit = 32;
   Json::CharReaderBuilder builder;
   Json::CharReaderBuilder::strictMode(&builder.settings_);
-  builder["stackLimit"] = kStackLimit;
+  builder["stackLimit"] = aRules.depth;
+  builder["rejectDupKeys"] = aRules.uniqueKeys;
   const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
   Json::Value json;
   std::string errors;
@@ -39,6 +38,13 @@
   return DecodeError{ "", "a JSON document", errors };
 }
 
+Decoded<Json::Value>
+ParseJson(std::string_view aText)
+{
+  // Deeper documents than this are hostile: no schema type nests further.
+  return ParseWith({ .depth = 32, .uniqueKeys = true }, aText);
+}
+
 ObjectReader::ObjectReader(const Json::Value& aJson, const std::string& aPath)
   : json(aJson)
   , path(aPath)
--- a/packages/wire/codec_detail.h
+++ b/packages/wire/codec_detail.h
@@ -17,6 +17,17 @@
 
 namespace jackdawwind::wire {
 
+/// What a JSON parser accepts.
+struct JsonRules
+{
+  /// Deepest nesting.
+  int depth = 0;
+  bool uniqueKeys = true;
+};
+
+/// Parses a whole text by the rules; nothing throws.
+Decoded<Json::Value> ParseWith(const JsonRules& aRules, std::string_view aText);
+
 /// Whether a field must be there.
 enum class Presence
 {
