--- a/bench/control_cost.cc
+++ b/bench/control_cost.cc
@@ -39,7 +39,7 @@
 constexpr int kApplies = 3;
 constexpr std::chrono::seconds kIdle{ 10 };
 /// Lets the exchanges that follow the nodes' start end before the measurement.
-constexpr std::chrono::seconds kSettle{ 5 };
+constexpr std::chrono::seconds kSettle{ 20 };
 constexpr std::chrono::seconds kPatience{ 30 };
 constexpr std::chrono::seconds kTotalTime{ 170 };
 constexpr const char* kAdminToken = "bench-admin-token";
--- a/bench/decision_cost.cc
+++ b/bench/decision_cost.cc
@@ -126,6 +126,7 @@
     items.emplace_back(KeyRecord({ .hash = "hash-of-" + name, .organisation = name }));
   }
   std::vector<ConfigItem> puts;
+  puts.reserve(items.size());
   for (const ItemBody& body : items) {
     puts.push_back(ConfigItem({ .path = PathOf(body), .body = body }));
   }
@@ -139,6 +140,7 @@
 CoreUnderLoad::AddMembers(std::size_t aMembers)
 {
   std::vector<Member> members;
+  members.reserve(aMembers);
   for (std::size_t index = 1; index < aMembers; ++index) {
     members.push_back(Member({ .address = PeerAddress({ .node = "node-" + std::to_string(index),
                                                         .host = "127.0.0.1",
@@ -280,7 +282,7 @@
   CoreUnderLoad core(organisations, static_cast<std::size_t>(aState.range(1)));
   std::array<double, 4> total{};
   std::size_t next = 0;
-  for (auto _ : aState) {
+  while (aState.KeepRunning()) {
     std::array<double, 4> taken{};
     if (!core.Call(next++ % organisations, taken)) {
       aState.SkipWithError("a call was refused");
@@ -319,7 +321,7 @@
 ContextRoundTrip(benchmark::State& aState)
 {
   const CallContext context = ExampleContext();
-  for (auto _ : aState) {
+  while (aState.KeepRunning()) {
     const wire::Decoded<CallContext> decoded =
       wire::DecodeText<CallContext>(wire::EncodeText(context));
     if (decoded != wire::Decoded<CallContext>(context)) {
@@ -333,7 +335,7 @@
 SealContext(benchmark::State& aState)
 {
   const std::string text = wire::EncodeText(ExampleContext());
-  for (auto _ : aState) {
+  while (aState.KeepRunning()) {
     benchmark::DoNotOptimize(wire::Seal("fleet-secret", text));
   }
 }
