Look up admission levels place by place; share the stand-ins' main code

Cause: a pick looked up the level of every candidate although the own domain is usually enough, and three main files repeated the same wrapper. The picker now forgets nodes that left or died.

--- a/packages/decisions/node_core.cc
+++ b/packages/decisions/node_core.cc
@@ -289,6 +289,16 @@
     this->entry.Continue(aNow, aEffects);
     this->AdvanceDrain(aNow, aEffects);
     this->ShowPhase(aEffects);
+    this->ForgetPeers(aEffects);
+  }
+
+  void ForgetPeers(const Effects& aEffects)
+  {
+    for (const Effect& effect : aEffects) {
+      if (const ForgetPeer* forget = std::get_if<ForgetPeer>(&effect)) {
+        this->picker.Forget(forget->Node());
+      }
+    }
   }
 
   void EndTargetLease(Time aNow, Effects& aEffects)
--- a/packages/decisions/routing/picker.cc
+++ b/packages/decisions/routing/picker.cc
@@ -165,32 +165,38 @@
 {
   std::array<Candidates, kPlaces> byPlace;
   for (const Member* member : aCandidates) {
-    if (!this->levels.Admits(member->Address().Node(), aRank, aNow)) {
-      continue;
-    }
     const Place place = member->GetDomain() == this->options.domain ? Place::kDomain
                         : member->Region() == this->options.region  ? Place::kRegion
                                                                     : Place::kElsewhere;
     byPlace[static_cast<std::size_t>(place)].push_back(member);
   }
-  for (const Candidates& candidates : byPlace) {
-    if (candidates.empty()) {
-      continue;
-    }
-    const std::size_t first = this->random.Below(candidates.size());
-    if (candidates.size() == 1) {
-      return candidates[first];
+  for (Candidates& candidates : byPlace) {
+    // Levels are looked up place by place: mostly the own domain, an eighth of all, is enough.
+    std::erase_if(candidates, [this, aRank, aNow](const Member* aMember) {
+      return !this->levels.Admits(aMember->Address().Node(), aRank, aNow);
+    });
+    if (!candidates.empty()) {
+      return this->LessLoaded(candidates, aNow);
     }
-    // Another than the first, each with the same chance.
-    const std::size_t second =
-      (first + 1 + this->random.Below(candidates.size() - 1)) % candidates.size();
-    return this->LoadOf(*candidates[second], aNow) < this->LoadOf(*candidates[first], aNow)
-             ? candidates[second]
-             : candidates[first];
   }
   return nullptr;
 }
 
+const Member*
+Picker::LessLoaded(const Candidates& aCandidates, Time aNow)
+{
+  const std::size_t first = this->random.Below(aCandidates.size());
+  if (aCandidates.size() == 1) {
+    return aCandidates[first];
+  }
+  // Another than the first, each with the same chance.
+  const std::size_t second =
+    (first + 1 + this->random.Below(aCandidates.size() - 1)) % aCandidates.size();
+  const bool secondIsLess =
+    this->LoadOf(*aCandidates[second], aNow) < this->LoadOf(*aCandidates[first], aNow);
+  return aCandidates[secondIsLess ? second : first];
+}
+
 std::uint64_t
 Picker::LoadOf(const Member& aMember, Time aNow) const
 {
--- a/packages/decisions/routing/picker.h
+++ b/packages/decisions/routing/picker.h
@@ -73,6 +73,8 @@
                             Time aNow) const;
   /// One of those that admit the rank, from the nearest place; null for none.
   const Member* Choose(const Candidates& aCandidates, std::uint32_t aRank, Time aNow);
+  /// The less loaded of two random candidates; aCandidates must not be empty.
+  const Member* LessLoaded(const Candidates& aCandidates, Time aNow);
   std::uint64_t LoadOf(const Member& aMember, Time aNow) const;
   void NoteFailure(Health& aHealth, Time aNow) const;
 
--- a/packages/standins/caller/main.cc
+++ b/packages/standins/caller/main.cc
@@ -1,7 +1,6 @@
 // Program standin_caller: sends requests to a node and prints a summary as JSON.
 #include <cstdint>
 #include <cstdlib>
-#include <exception>
 #include <iostream>
 #include <string>
 
@@ -10,6 +9,7 @@
 #include <cxxopts.hpp>
 
 #include "standins/caller/caller.h"
+#include "standins/common/program.h"
 
 namespace jackdawwind::standins {
 
@@ -73,10 +73,7 @@
 int
 main(int aCount, char** aArguments)
 {
-  try {
+  return jackdawwind::standins::RunProgram("standin_caller", [aCount, aArguments] {
     return jackdawwind::standins::Run(aCount, aArguments);
-  } catch (const std::exception& exception) {
-    std::cerr << "standin_caller: " << exception.what() << "\n";
-    return EXIT_FAILURE;
-  }
+  });
 }
--- a/packages/standins/relay/main.cc
+++ b/packages/standins/relay/main.cc
@@ -1,17 +1,16 @@
 // Program standin_relay: a TCP relay whose faults are switched by PUT /control (RelayControl).
 #include <cstdint>
 #include <cstdlib>
-#include <exception>
 #include <iostream>
 #include <memory>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/address.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <cxxopts.hpp>
 
 #include "standins/common/http_server.h"
+#include "standins/common/program.h"
 #include "standins/relay/relay.h"
 #include "wire/codec.h"
 #include "wire/generated/standins_codec.h"
@@ -51,8 +50,6 @@
   add("to-port", "port to relay to", cxxopts::value<std::uint16_t>());
   const cxxopts::ParseResult parsed = options.parse(aCount, aArguments);
   boost::asio::io_context context;
-  boost::asio::signal_set signals(context, SIGTERM, SIGINT);
-  signals.async_wait([&context](const boost::system::error_code&, int) { context.stop(); });
   const boost::asio::ip::tcp::endpoint destination(
     boost::asio::ip::make_address(parsed["to-host"].as<std::string>()),
     parsed["to-port"].as<std::uint16_t>());
@@ -62,7 +59,7 @@
     parsed["control-port"].as<std::uint16_t>(),
     [&relay](const std::shared_ptr<ServedRequest>& aRequest) { OnControl(relay, aRequest); });
   std::cout << "listening " << relay.Port() << " control " << control.Port() << std::endl;
-  context.run();
+  RunUntilSignal(context);
   return EXIT_SUCCESS;
 }
 
@@ -73,10 +70,7 @@
 int
 main(int aCount, char** aArguments)
 {
-  try {
+  return jackdawwind::standins::RunProgram("standin_relay", [aCount, aArguments] {
     return jackdawwind::standins::Run(aCount, aArguments);
-  } catch (const std::exception& exception) {
-    std::cerr << "standin_relay: " << exception.what() << "\n";
-    return EXIT_FAILURE;
-  }
+  });
 }
--- a/packages/standins/target/main.cc
+++ b/packages/standins/target/main.cc
@@ -1,15 +1,14 @@
 // Program standin_target: a target for tests that run whole processes.
 #include <cstdint>
 #include <cstdlib>
-#include <exception>
 #include <iostream>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/address.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <cxxopts.hpp>
 
+#include "standins/common/program.h"
 #include "standins/target/target.h"
 
 namespace jackdawwind::standins {
@@ -58,11 +57,9 @@
   options.childPath = parsed["child-path"].as<std::string>();
   options.answerBytes = parsed["answer-bytes"].as<std::size_t>();
   boost::asio::io_context context;
-  boost::asio::signal_set signals(context, SIGTERM, SIGINT);
-  signals.async_wait([&context](const boost::system::error_code&, int) { context.stop(); });
   const Target target(context, options);
   std::cout << "listening " << target.Port() << std::endl;
-  context.run();
+  RunUntilSignal(context);
   return EXIT_SUCCESS;
 }
 
@@ -73,10 +70,7 @@
 int
 main(int aCount, char** aArguments)
 {
-  try {
+  return jackdawwind::standins::RunProgram("standin_target", [aCount, aArguments] {
     return jackdawwind::standins::Run(aCount, aArguments);
-  } catch (const std::exception& exception) {
-    std::cerr << "standin_target: " << exception.what() << "\n";
-    return EXIT_FAILURE;
-  }
+  });
 }
