--- a/packages/decisions/config/control_state.cc
+++ b/packages/decisions/config/control_state.cc
@@ -166,7 +166,7 @@
 ControlState::Problem() const
 {
   for (const std::pair<const std::string, Service>& entry : this->services) {
-    const std::string problem = ServiceProblem(entry.second);
+    std::string problem = ServiceProblem(entry.second);
     if (!problem.empty()) {
       return problem;
     }
--- a/packages/decisions/tests/session.cc
+++ b/packages/decisions/tests/session.cc
@@ -94,6 +94,7 @@
 Session::Configure(const std::vector<ItemBody>& aItems, const std::vector<std::string>& aRemoves)
 {
   std::vector<ConfigItem> puts;
+  puts.reserve(aItems.size());
   for (const ItemBody& body : aItems) {
     puts.push_back(ConfigItem({ .path = PathOf(body), .body = body }));
   }
@@ -507,8 +508,7 @@
   const TargetPlan plan = this->plans[work];
   const std::string name = aNode.spec.node;
   const std::uint64_t exchange = aEffect.Exchange();
-  const std::string callId = aEffect.CallId();
-  this->At(this->now + plan.serviceTime, [this, name, exchange, callId, plan] {
+  this->At(this->now + plan.serviceTime, [this, name, exchange, plan, callId = aEffect.CallId()] {
     this->RunTarget(name, exchange, callId, plan, 0, false);
   });
 }
