--- a/packages/decisions/tests/session.cc
+++ b/packages/decisions/tests/session.cc
@@ -576,9 +576,9 @@
   if (!this->Reaches(aNode.spec.node, to)) {
     return;
   }
-  const PeerMessage message = aEffect.Message();
+  const PeerReceived received({ .message = aEffect.Message() });
   this->At(this->now + this->Delay(aNode.spec.node, to),
-           [this, to, message] { this->Deliver(to, PeerReceived({ .message = message })); });
+           [this, to, received] { this->Deliver(to, received); });
 }
 
 void
--- a/tests/process/child_process.cc
+++ b/tests/process/child_process.cc
@@ -9,8 +9,6 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-extern char** environ;
-
 namespace jackdawwind::tests {
 
 namespace {
--- a/tests/process/failure_test.cc
+++ b/tests/process/failure_test.cc
@@ -208,8 +208,9 @@
   const HttpAnswer header =
     fleet.Call("a1", { .path = "/fuel/levels", .headers = { { "X-Long", longText } } });
   EXPECT_EQ(header.Result(), 101);
-  const HttpAnswer body = fleet.Call(
-    "a1", { .method = "POST", .path = "/fuel/book", .body = std::string(9'000'000, 'x') });
+  HttpRequest large = Booking("large", "k");
+  large.body.assign(9'000'000, 'x');
+  const HttpAnswer body = fleet.Call("a1", large);
   EXPECT_EQ(body.Result(), 102);
   EXPECT_EQ(SendRaw(fleet.Port("a1", "callers"), "\x16\x03\x01 not http\r\n\r\n").Result(), 100);
   SendRaw(fleet.Port("a1", "peer_control"), "POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\n{]}");
--- a/tests/process/fleet.cc
+++ b/tests/process/fleet.cc
@@ -156,7 +156,7 @@
                      std::uint16_t aCallPort,
                      std::uint16_t aAdvertised) const
 {
-  const std::string path = this->folder + "/" + aNode.node + ".yaml";
+  std::string path = this->folder + "/" + aNode.node + ".yaml";
   std::ofstream file(path);
   file << "node: " << aNode.node << "\ndomain: " << aNode.domain << "\nregion: " << aNode.region
        << "\ncallers: {port: 0}\ntarget: {port: 0}\npeer_calls: {port: " << aCallPort
--- a/tests/process/http.cc
+++ b/tests/process/http.cc
@@ -105,13 +105,14 @@
 HttpConnection::ReadAnswer()
 {
   HttpAnswer answer;
-  http::response<http::string_body> response;
-  this->impl->open = this->impl->open && this->impl->Complete([this, &response](auto aDone) {
-    http::async_read(this->impl->stream, this->impl->buffer, response, aDone);
+  http::response_parser<http::string_body> parser;
+  this->impl->open = this->impl->open && this->impl->Complete([this, &parser](auto aDone) {
+    http::async_read(this->impl->stream, this->impl->buffer, parser, aDone);
   });
   if (!this->impl->open) {
     return answer;
   }
+  const http::response<http::string_body>& response = parser.get();
   answer.status = response.result_int();
   for (const http::fields::value_type& field : response) {
     std::string name(field.name_string());
