--- a/bench/control_cost.cc
+++ b/bench/control_cost.cc
@@ -44,23 +44,6 @@
 constexpr std::chrono::seconds kTotalTime{ 170 };
 constexpr const char* kAdminToken = "bench-admin-token";
 
-/// Port after a name in a program's first line: "listening 4711" or "callers=4711 target=4712".
-std::uint16_t
-PortIn(const std::string& aLine, const std::string& aName)
-{
-  std::string line = aLine;
-  std::replace(line.begin(), line.end(), '=', ' ');
-  std::istringstream words(line);
-  std::string word;
-  while (words >> word) {
-    if (word == aName && words >> word) {
-      return static_cast<std::uint16_t>(std::atoi(word.c_str()));
-    }
-  }
-  std::fprintf(stderr, "no port of %s in: %s\n", aName.c_str(), aLine.c_str());
-  std::abort();
-}
-
 bool
 WaitFor(const std::function<bool()>& aCondition, std::chrono::milliseconds aInterval)
 {
@@ -141,7 +124,7 @@
   std::string pattern = (std::filesystem::current_path() / "control_cost-XXXXXX").string();
   this->folder = mkdtemp(pattern.data());
   this->log = std::make_unique<tests::ChildProcess>("standin_log", std::vector<std::string>{});
-  this->logPort = PortIn(this->log->FirstLine(), "listening");
+  this->logPort = this->log->Port("listening");
   this->relay.Forward(this->logPort, CountingRelay::Kind::kLog);
   for (std::size_t index = 0; index < aSize; ++index) {
     this->AddNode(index);
@@ -170,14 +153,13 @@
   Node node;
   node.process = std::make_unique<tests::ChildProcess>(
     "jackdawwind", std::vector<std::string>{ "--settings", path });
-  const std::string& line = node.process->FirstLine();
-  const std::uint16_t control = PortIn(line, "peer_control");
+  const std::uint16_t control = node.process->Port("peer_control");
   this->relay.Forward(control, CountingRelay::Kind::kPeers);
-  node.adminPort = PortIn(line, "admin");
+  node.adminPort = node.process->Port("admin");
   node.pid = FindChild("jackdawwind", "/" + name + ".yaml");
   if (this->seed.empty()) {
     this->seed = "{node: " + name + ", host: " + CountingRelay::kAddress +
-                 ", call_port: " + std::to_string(PortIn(line, "peer_calls")) +
+                 ", call_port: " + std::to_string(node.process->Port("peer_calls")) +
                  ", control_port: " + std::to_string(control) + "}";
   }
   this->nodes.push_back(std::move(node));
--- a/packages/decisions/claims/claim_ledger.cc
+++ b/packages/decisions/claims/claim_ledger.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "util/hash.h"
+
 namespace jackdawwind {
 
 namespace {
@@ -11,17 +13,13 @@
 /// Keeps the appends of a whole fleet below 300 a second; the log takes several hundred.
 constexpr Duration kBatchDelayPerNode = std::chrono::microseconds(3'400);
 
-/// Deterministic over the fleet: every node must find the same shard for a key (FNV-1a).
+/// The same at every node: all must find the same shard for a key.
 std::uint64_t
 ShardHash(const std::string& aKey)
 {
-  constexpr std::uint64_t kOffsetBasis = 14695981039346656037ULL;
-  constexpr std::uint64_t kPrime = 1099511628211ULL;
-  std::uint64_t hash = kOffsetBasis;
-  for (const char byte : aKey) {
-    hash = (hash ^ static_cast<unsigned char>(byte)) * kPrime;
-  }
-  return hash;
+  StableHash hash;
+  hash.Add(aKey);
+  return hash.Value();
 }
 
 } // namespace
--- a/packages/decisions/membership/member_table.cc
+++ b/packages/decisions/membership/member_table.cc
@@ -3,20 +3,20 @@
 #include <string_view>
 #include <tuple>
 
+#include "util/hash.h"
+
 namespace jackdawwind {
 
 namespace {
 
-/// FNV-1a with a final mix, because the hashes of members are added up.
+/// A stable hash with a final mix, because the hashes of members are added up.
 class MemberHash
 {
 public:
   void Add(std::string_view aText)
   {
-    for (const char letter : aText) {
-      this->AddByte(static_cast<unsigned char>(letter));
-    }
-    this->AddByte(0);
+    this->bytes.Add(aText);
+    this->bytes.Add(static_cast<unsigned char>(0));
   }
 
   void Add(std::uint64_t aNumber)
@@ -24,7 +24,7 @@
     constexpr unsigned kBits = 64;
     constexpr unsigned kBitsPerByte = 8;
     for (unsigned shift = 0; shift < kBits; shift += kBitsPerByte) {
-      this->AddByte(static_cast<unsigned char>(aNumber >> shift));
+      this->bytes.Add(static_cast<unsigned char>(aNumber >> shift));
     }
   }
 
@@ -33,20 +33,14 @@
     constexpr std::uint64_t kMixFirst = 0xff51afd7ed558ccdULL;
     constexpr std::uint64_t kMixSecond = 0xc4ceb9fe1a85ec53ULL;
     constexpr unsigned kHalf = 33;
-    std::uint64_t value = this->state;
+    std::uint64_t value = this->bytes.Value();
     value = (value ^ (value >> kHalf)) * kMixFirst;
     value = (value ^ (value >> kHalf)) * kMixSecond;
     return value ^ (value >> kHalf);
   }
 
 private:
-  void AddByte(unsigned char aByte)
-  {
-    constexpr std::uint64_t kPrime = 1099511628211ULL;
-    this->state = (this->state ^ aByte) * kPrime;
-  }
-
-  std::uint64_t state = 14695981039346656037ULL;
+  StableHash bytes;
 };
 
 std::uint64_t
--- a/tests/process/child_process.cc
+++ b/tests/process/child_process.cc
@@ -1,9 +1,11 @@
 #include "process/child_process.h"
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <sstream>
 
 #include <spawn.h>
 #include <sys/wait.h>
@@ -70,6 +72,22 @@
   close(this->output);
 }
 
+std::uint16_t
+ChildProcess::Port(const std::string& aName) const
+{
+  std::string line = this->firstLine;
+  std::replace(line.begin(), line.end(), '=', ' ');
+  std::istringstream words(line);
+  std::string word;
+  while (words >> word) {
+    if (word == aName && words >> word) {
+      return static_cast<std::uint16_t>(std::atoi(word.c_str()));
+    }
+  }
+  std::fprintf(stderr, "no port of %s in: %s\n", aName.c_str(), this->firstLine.c_str());
+  std::abort();
+}
+
 void
 ChildProcess::Signal(int aSignal) const
 {
--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -7,6 +7,7 @@
 // The destructor kills the process and waits for it.
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,8 @@
 
   /// First line of standard output; empty when the process ended before it.
   const std::string& FirstLine() const { return this->firstLine; }
+  /// Port after a name in the first line: "listening 4711 control 4712" or "callers=4711".
+  std::uint16_t Port(const std::string& aName) const;
   void Signal(int aSignal) const;
   /// Waits until the process has ended; its exit status, or -1 when a signal ended it.
   int Wait();
--- a/tests/process/fleet.cc
+++ b/tests/process/fleet.cc
@@ -26,23 +26,6 @@
 /// Far above any time that a working system needs, so that a busy machine decides nothing.
 constexpr std::chrono::seconds kPatience{ 60 };
 
-/// Port after a name in a program's first line: "listening 4711 control 4712" or "callers=4711".
-std::uint16_t
-PortIn(const std::string& aLine, const std::string& aName)
-{
-  std::string line = aLine;
-  std::replace(line.begin(), line.end(), '=', ' ');
-  std::istringstream words(line);
-  std::string word;
-  while (words >> word) {
-    if (word == aName && words >> word) {
-      return static_cast<std::uint16_t>(std::atoi(word.c_str()));
-    }
-  }
-  std::cerr << "no port of " << aName << " in: " << aLine << '\n';
-  std::abort();
-}
-
 std::uint16_t
 FreePort()
 {
@@ -90,7 +73,7 @@
   std::string pattern = (std::filesystem::temp_directory_path() / "jackdawwind-XXXXXX").string();
   this->folder = mkdtemp(pattern.data());
   this->log = std::make_unique<ChildProcess>("standin_log", std::vector<std::string>{});
-  this->logPort = PortIn(this->log->FirstLine(), "listening");
+  this->logPort = this->log->Port("listening");
   for (const char* organisation : { "north", "south" }) {
     this->keys[organisation] = wire::RandomKey();
   }
@@ -113,23 +96,22 @@
     callPort = FreePort();
     running->relay = std::make_unique<ChildProcess>(
       "standin_relay", std::vector<std::string>{ "--to-port", std::to_string(callPort) });
-    advertised = PortIn(running->relay->FirstLine(), "listening");
-    running->relayControl = PortIn(running->relay->FirstLine(), "control");
+    advertised = running->relay->Port("listening");
+    running->relayControl = running->relay->Port("control");
   }
   const std::string settings = this->WriteSettings(aNode, callPort, advertised);
   running->process = std::make_unique<ChildProcess>(
     "jackdawwind", std::vector<std::string>{ "--settings", settings });
-  const std::string line = running->process->FirstLine();
   if (!aNode.service.empty()) {
     std::vector<std::string> arguments{
-      "--service", aNode.service, "--node-port", std::to_string(PortIn(line, "target"))
+      "--service", aNode.service, "--node-port", std::to_string(running->process->Port("target"))
     };
     arguments.insert(arguments.end(), aNode.targetArguments.begin(), aNode.targetArguments.end());
     running->target = std::make_unique<ChildProcess>("standin_target", arguments);
-    running->targetPort = PortIn(running->target->FirstLine(), "listening");
+    running->targetPort = running->target->Port("listening");
   }
-  const std::uint16_t control = PortIn(line, "peer_control");
-  const std::uint16_t calls = advertised == 0 ? PortIn(line, "peer_calls") : advertised;
+  const std::uint16_t control = running->process->Port("peer_control");
+  const std::uint16_t calls = advertised == 0 ? running->process->Port("peer_calls") : advertised;
   this->seeds.push_back("{node: " + aNode.node + ", host: 127.0.0.1, call_port: " +
                         std::to_string(calls) + ", control_port: " + std::to_string(control) + "}");
   this->nodes[aNode.node] = std::move(running);
@@ -395,7 +377,7 @@
 std::uint16_t
 Fleet::Port(const std::string& aNode, const std::string& aListener) const
 {
-  return PortIn(this->nodes.at(aNode)->process->FirstLine(), aListener);
+  return this->nodes.at(aNode)->process->Port(aListener);
 }
 
 ChildProcess&
