--- a/cmake/Packages.cmake
+++ b/cmake/Packages.cmake
@@ -12,6 +12,9 @@
 
 # Adds the test program NAME_test from all files in tests/; every GoogleTest case is a CTest case.
 function(jackdaw_tests NAME)
+  if(NOT JACKDAWWIND_TESTS)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "" "LINK" ${ARGN})
   file(GLOB_RECURSE SOURCES CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/*.cc)
   add_executable(${NAME}_test ${SOURCES})
--- /dev/null
+++ b/packages/decisions/mesh/configuration_spread.cc
@@ -0,0 +1,85 @@
+#include "decisions/mesh/configuration_spread.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <utility>
+#include <vector>
+
+namespace jackdawwind {
+
+namespace {
+
+/// Peers that a new version is offered to; with four a rumour reaches all but one in a hundred, and
+/// probes reach those.
+constexpr std::size_t kOffers = 4;
+/// Time for the answer to a request for a version.
+constexpr Duration kAskAgain = std::chrono::milliseconds(200);
+
+} // namespace
+
+ConfigurationSpread::ConfigurationSpread(PeerAddress aSelf, std::uint64_t aSeed)
+  : self(std::move(aSelf))
+  , random(aSeed)
+{
+}
+
+bool
+ConfigurationSpread::Adopt(const MeshConfiguration& aConfiguration,
+                           const Members& aMembers,
+                           Effects& aEffects)
+{
+  if (aConfiguration.Version() <= this->Version()) {
+    return false;
+  }
+  this->table = std::make_shared<const RouteTable>(aConfiguration);
+  this->Offer(aMembers, aEffects);
+  return true;
+}
+
+void
+ConfigurationSpread::Offer(const Members& aMembers, Effects& aEffects)
+{
+  std::vector<PeerAddress> peers;
+  for (const Members::value_type& entry : aMembers) {
+    if (entry.first != this->self.Node() && entry.second.State() == NodeState::kAlive) {
+      peers.push_back(entry.second.Address());
+    }
+  }
+  for (std::size_t sent = 0; sent < kOffers && !peers.empty(); ++sent) {
+    const std::size_t index = this->random.Below(peers.size());
+    aEffects.push_back(SendPeer(
+      { .to = peers[index],
+        .message = MeshConfigOffer({ .sender = this->self, .version = this->Version() }) }));
+    peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(index));
+  }
+}
+
+void
+ConfigurationSpread::NoteVersion(const PeerAddress& aPeer,
+                                 std::uint64_t aVersion,
+                                 Time aNow,
+                                 Effects& aEffects)
+{
+  if (aVersion <= this->Version() || (aVersion <= this->wanted && aNow < this->askAgainAt)) {
+    return;
+  }
+  this->wanted = aVersion;
+  this->askAgainAt = aNow + kAskAgain;
+  aEffects.push_back(
+    SendPeer({ .to = aPeer,
+               .message = MeshConfigWant({ .sender = this->self, .version = this->Version() }) }));
+}
+
+void
+ConfigurationSpread::Receive(const MeshConfigWant& aWant, Effects& aEffects) const
+{
+  if (this->table == nullptr || aWant.Version() >= this->Version()) {
+    return;
+  }
+  aEffects.push_back(
+    SendPeer({ .to = aWant.Sender(),
+               .message = MeshConfigRelay({ .sender = this->self.Node(),
+                                            .configuration = this->table->Configuration() }) }));
+}
+
+} // namespace jackdawwind
--- /dev/null
+++ b/packages/decisions/mesh/entry_requests.cc
@@ -0,0 +1,447 @@
+#include "decisions/mesh/entry_requests.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "values/text.h"
+
+namespace jackdawwind {
+
+namespace {
+
+/// Nodes that may refuse a request before it is refused to the caller; under overload the others
+/// are as full.
+constexpr std::uint32_t kMaxRefusals = 2;
+/// A send with less time than this left cannot be answered.
+constexpr Duration kLeastTime = std::chrono::milliseconds(20);
+/// Ranks between two organisations' priorities; routes rank within.
+constexpr std::uint32_t kRanksPerPriority = 100;
+/// Ranks of requests of callers begin here: calls of running targets go first, since a call that is
+/// refused wastes the whole chain above it.
+constexpr std::uint32_t kFirstCallerRank = 1000;
+constexpr std::uint32_t kFirstServerError = 500;
+
+/// Advice to callers: short where the cause passes quickly, spread so that they do not return
+/// together.
+struct RetryAdvice
+{
+  Duration least;
+  Duration spread;
+};
+
+RetryAdvice
+AdviceFor(ResultCode aCode)
+{
+  using std::chrono::milliseconds;
+  switch (aCode) {
+    case ResultCode::kRateExceeded:
+      return { milliseconds(500), milliseconds(700) };
+    case ResultCode::kNotConfigured:
+    case ResultCode::kNodeDraining:
+      return { milliseconds(200), milliseconds(300) };
+    case ResultCode::kNoTarget:
+    case ResultCode::kTargetDraining:
+    case ResultCode::kConnectFailed:
+      return { milliseconds(200), milliseconds(400) };
+    default:
+      return { milliseconds(400), milliseconds(800) };
+  }
+}
+
+Importance
+ImportanceOf(const MeshRoute& aRoute)
+{
+  switch (aRoute.Priority()) {
+    case 0:
+      return Importance::kCritical;
+    case 1:
+      return Importance::kHigh;
+    case 2:
+      return Importance::kNormal;
+    default:
+      return Importance::kBulk;
+  }
+}
+
+bool
+IsIdempotent(const MeshRoute& aRoute)
+{
+  return aRoute.Kind() == RouteKind::kIdempotent;
+}
+
+} // namespace
+
+EntryRequests::EntryRequests(Modules aModules, Options aOptions, std::uint64_t aSeed)
+  : modules(aModules)
+  , options(std::move(aOptions))
+  , random(aSeed)
+{
+}
+
+void
+EntryRequests::Receive(const MeshRequestArrived& aArrived, Time aNow, Effects& aEffects)
+{
+  Admission admission = this->Admit(aArrived, aNow);
+  if (const ResultCode* code = std::get_if<ResultCode>(&admission)) {
+    this->RejectUnseen(aArrived, *code, aEffects);
+    return;
+  }
+  const Requests::iterator request =
+    this->requests.emplace(aArrived.Exchange(), std::get<Request>(std::move(admission))).first;
+  this->TakeToken(request, aNow, aEffects);
+}
+
+EntryRequests::Admission
+EntryRequests::Admit(const MeshRequestArrived& aArrived, Time aNow)
+{
+  const RouteTable* table = this->modules.configuration.Table();
+  if (table == nullptr) {
+    return ResultCode::kNotConfigured;
+  }
+  if (this->refusing) {
+    return ResultCode::kNodeDraining;
+  }
+  const MeshRoute* route = table->Find(aArrived.Host(), aArrived.Path());
+  if (route == nullptr) {
+    return ResultCode::kUnknownRoute;
+  }
+  Request request;
+  if (table->NeedsKeys() && !route->Open()) {
+    if (!aArrived.GetKeyHash()) {
+      return ResultCode::kMissingKey;
+    }
+    const MeshOrganisation* organisation = table->FindKey(*aArrived.GetKeyHash());
+    if (organisation == nullptr) {
+      return ResultCode::kUnknownKey;
+    }
+    request.organisation = organisation->Name();
+    request.rank = kFirstCallerRank +
+                   organisation->Priority().value_or(route->Priority()) * kRanksPerPriority +
+                   std::min(route->Priority(), kRanksPerPriority - 1);
+  }
+  request.exchange = aArrived.Exchange();
+  request.id = aArrived.RequestId();
+  request.route = *route;
+  request.service = this->modules.splits.Choose(*route);
+  request.arrived = aNow;
+  request.deadline =
+    aNow + std::min<Duration>(aArrived.Timeout().value_or(route->Timeout()), route->Timeout());
+  return request;
+}
+
+void
+EntryRequests::TakeToken(Requests::iterator aRequest, Time aNow, Effects& aEffects)
+{
+  if (aRequest->second.organisation.empty()) {
+    this->Begin(aRequest, aNow, aEffects);
+    return;
+  }
+  const std::string organisation = aRequest->second.organisation;
+  switch (this->modules.quota.Request(aRequest->first, organisation, aNow)) {
+    case QuotaPool::Verdict::kTaken:
+      this->Begin(aRequest, aNow, aEffects);
+      break;
+    case QuotaPool::Verdict::kWaiting:
+      break;
+    case QuotaPool::Verdict::kRefused:
+      this->FinishRejected(aRequest, ResultCode::kRateExceeded, RunState::kNotRun, aNow, aEffects);
+      break;
+  }
+}
+
+void
+EntryRequests::Begin(Requests::iterator aRequest, Time aNow, Effects& aEffects)
+{
+  this->modules.budget.NoteRequest(aRequest->second.service);
+  if (!this->Send(aRequest, aNow, aEffects)) {
+    this->FinishRejected(aRequest, ResultCode::kNoTarget, RunState::kNotRun, aNow, aEffects);
+  }
+}
+
+bool
+EntryRequests::Send(Requests::iterator aRequest, Time aNow, Effects& aEffects)
+{
+  Request& request = aRequest->second;
+  const Duration remaining = request.deadline - aNow;
+  if (remaining < kLeastTime) {
+    return false;
+  }
+  const std::optional<PeerAddress> peer =
+    this->modules.picker.Pick(request.service, request.tried, this->modules.members, aNow);
+  if (!peer) {
+    return false;
+  }
+  ++request.attempt;
+  request.node = peer->Node();
+  request.tried.insert(peer->Node());
+  this->modules.picker.NoteSent(peer->Node());
+  HopContext context({ .routeName = request.route.Name(),
+                       .service = request.service,
+                       .organisation = request.organisation,
+                       .callerService = this->options.service,
+                       .rank = request.rank,
+                       .idempotent = IsIdempotent(request.route),
+                       .remaining = remaining });
+  if (peer->Node() == this->options.node) {
+    this->modules.target.Offer({ .exchange = request.exchange,
+                                 .attempt = request.attempt,
+                                 .requestId = request.id,
+                                 .context = std::move(context),
+                                 .deadline = request.deadline,
+                                 .local = true },
+                               aNow,
+                               aEffects);
+    return true;
+  }
+  aEffects.push_back(ForwardHop({ .exchange = request.exchange,
+                                  .attempt = request.attempt,
+                                  .peer = *peer,
+                                  .context = std::move(context),
+                                  .timeout = remaining }));
+  return true;
+}
+
+bool
+EntryRequests::Receive(const SendEnded& aEnded, Time aNow, Effects& aEffects)
+{
+  const Requests::iterator found = this->requests.find(aEnded.Exchange());
+  if (found == this->requests.end() || found->second.attempt != aEnded.Attempt()) {
+    return false;
+  }
+  struct Visitor
+  {
+    EntryRequests& self;
+    Requests::iterator request;
+    Time now;
+    Effects& effects;
+
+    void operator()(const HopAnswered& aAnswer) const
+    {
+      this->self.modules.picker.NoteAnswer(this->request->second.node, aAnswer.Load(), this->now);
+      this->self.HandleAnswer(this->request, aAnswer, this->now, this->effects);
+    }
+    void operator()(const TargetReplied& /*aOutcome*/) const {}
+    void operator()(const ConnectFailed& /*aOutcome*/) const
+    {
+      this->Fail(ResultCode::kConnectFailed, RunState::kNotRun);
+    }
+    void operator()(const Lost& /*aOutcome*/) const
+    {
+      this->Fail(ResultCode::kAttemptLost, RunState::kUnknown);
+    }
+    void operator()(const TimedOut& /*aOutcome*/) const
+    {
+      this->self.modules.picker.NoteEnded(this->request->second.node);
+      this->self.HandleAnswer(
+        this->request,
+        HopAnswered({ .code = ResultCode::kAttemptTimedOut, .run = RunState::kUnknown }),
+        this->now,
+        this->effects);
+    }
+    void Fail(ResultCode aCode, RunState aRun) const
+    {
+      this->self.modules.picker.NoteFailure(this->request->second.node, this->now);
+      this->self.HandleAnswer(
+        this->request, HopAnswered({ .code = aCode, .run = aRun }), this->now, this->effects);
+    }
+  };
+  std::visit(Visitor{ *this, found, aNow, aEffects }, aEnded.Outcome());
+  return true;
+}
+
+void
+EntryRequests::Continue(Time aNow, Effects& aEffects)
+{
+  for (const QuotaPool::Decision& decision : this->modules.quota.TakeDecisions()) {
+    const Requests::iterator found = this->requests.find(decision.exchange);
+    if (found == this->requests.end()) {
+      continue;
+    }
+    if (decision.taken) {
+      this->Begin(found, aNow, aEffects);
+    } else {
+      this->FinishRejected(found, ResultCode::kRateExceeded, RunState::kNotRun, aNow, aEffects);
+    }
+  }
+  // An answer of the own target may lead to another send to it, which may be answered at once.
+  std::vector<TargetSide::Outcome> outcomes = this->modules.target.TakeOutcomes();
+  while (!outcomes.empty()) {
+    for (const TargetSide::Outcome& outcome : outcomes) {
+      const Requests::iterator found = this->requests.find(outcome.exchange);
+      if (found != this->requests.end() && found->second.attempt == outcome.attempt) {
+        this->modules.picker.NoteAnswer(this->options.node, outcome.answer.Load(), aNow);
+        this->HandleAnswer(found, outcome.answer, aNow, aEffects);
+      }
+    }
+    outcomes = this->modules.target.TakeOutcomes();
+  }
+}
+
+void
+EntryRequests::HandleAnswer(Requests::iterator aRequest,
+                            const HopAnswered& aAnswer,
+                            Time aNow,
+                            Effects& aEffects)
+{
+  Request& request = aRequest->second;
+  const bool again = this->MaySendAgain(request, aAnswer, aNow);
+  if (again) {
+    AddLogLine(aEffects,
+               LogEvent::kAttemptRetried,
+               "request=" + request.id + " node=" + request.node +
+                 " code=" + std::string(ToText(aAnswer.Code())) +
+                 " run=" + std::string(ToText(aAnswer.Run())) +
+                 " attempt=" + std::to_string(request.attempt));
+    if (this->Send(aRequest, aNow, aEffects)) {
+      return;
+    }
+  }
+  if (aAnswer.Code() == ResultCode::kOk) {
+    this->FinishRelayed(aRequest, aAnswer, aNow, aEffects);
+  } else {
+    this->FinishRejected(aRequest, aAnswer.Code(), aAnswer.Run(), aNow, aEffects);
+  }
+}
+
+bool
+EntryRequests::MaySendAgain(Request& aRequest, const HopAnswered& aAnswer, Time aNow)
+{
+  const bool idempotent = IsIdempotent(aRequest.route);
+  if (aAnswer.Code() == ResultCode::kOk && (aAnswer.Status() < kFirstServerError || !idempotent)) {
+    return false;
+  }
+  const bool reachedTarget =
+    aAnswer.Run() != RunState::kNotRun || aAnswer.Code() == ResultCode::kTargetRefused;
+  if (aAnswer.Run() != RunState::kNotRun) {
+    ++aRequest.ran;
+    if (!idempotent) {
+      return false;
+    }
+  }
+  if (aRequest.deadline - aNow < kLeastTime) {
+    return false;
+  }
+  if (!reachedTarget) {
+    ++aRequest.refused;
+    return aRequest.refused <= kMaxRefusals;
+  }
+  return aRequest.ran < aRequest.route.MaxAttempts() &&
+         this->modules.budget.TryTake(aRequest.service);
+}
+
+void
+EntryRequests::FinishRelayed(Requests::iterator aRequest,
+                             const HopAnswered& aAnswer,
+                             Time aNow,
+                             Effects& aEffects)
+{
+  const Request& request = aRequest->second;
+  aEffects.push_back(RelayReply({ .exchange = request.exchange, .attempt = request.attempt }));
+  this->Report(request, ResultCode::kOk, RunState::kRan, aAnswer.Status(), aNow, aEffects);
+  this->requests.erase(aRequest);
+}
+
+void
+EntryRequests::FinishRejected(Requests::iterator aRequest,
+                              ResultCode aCode,
+                              RunState aRun,
+                              Time aNow,
+                              Effects& aEffects)
+{
+  const Request& request = aRequest->second;
+  // A refused last send proves nothing about the sends before it.
+  const RunState run = request.ran > 0 ? RunState::kUnknown : aRun;
+  if (run == RunState::kNotRun && aCode != ResultCode::kRateExceeded &&
+      !request.organisation.empty()) {
+    this->modules.quota.Return(request.organisation);
+  }
+  aEffects.push_back(RejectRequest(
+    { .exchange = request.exchange,
+      .code = aCode,
+      .run = run,
+      .retryAfter = run == RunState::kNotRun ? this->RetryAfter(aCode) : Duration::zero() }));
+  this->Report(request, aCode, run, HttpStatus(aCode), aNow, aEffects);
+  this->requests.erase(aRequest);
+}
+
+void
+EntryRequests::RejectUnseen(const MeshRequestArrived& aArrived, ResultCode aCode, Effects& aEffects)
+{
+  aEffects.push_back(RejectRequest({ .exchange = aArrived.Exchange(),
+                                     .code = aCode,
+                                     .run = RunState::kNotRun,
+                                     .retryAfter = this->RetryAfter(aCode) }));
+  AddLogLine(aEffects,
+             LogEvent::kRequestAnswered,
+             "request=" + aArrived.RequestId() + " host=" + aArrived.Host() +
+               " path=" + aArrived.Path() + " code=" + std::string(ToText(aCode)) +
+               " run=not_run version=" + std::to_string(this->modules.configuration.Version()));
+  aEffects.push_back(CallMeasured({ .code = aCode, .atEntry = true }));
+}
+
+Duration
+EntryRequests::RetryAfter(ResultCode aCode)
+{
+  const RetryAdvice advice = AdviceFor(aCode);
+  const double spread = static_cast<double>(advice.spread.count()) * this->random.Fraction();
+  return advice.least + Duration(static_cast<Duration::rep>(spread));
+}
+
+void
+EntryRequests::Report(const Request& aRequest,
+                      ResultCode aCode,
+                      RunState aRun,
+                      std::uint32_t aStatus,
+                      Time aNow,
+                      Effects& aEffects) const
+{
+  const Duration took = aNow - aRequest.arrived;
+  AddLogLine(aEffects,
+             LogEvent::kRequestAnswered,
+             "request=" + aRequest.id + " route=" + aRequest.route.Name() + " organisation=" +
+               aRequest.organisation + " service=" + aRequest.service + " node=" + aRequest.node +
+               " code=" + std::string(ToText(aCode)) + " run=" + std::string(ToText(aRun)) +
+               " status=" + std::to_string(aStatus) + " sends=" + std::to_string(aRequest.attempt) +
+               " took_us=" + std::to_string(took.count()) +
+               " version=" + std::to_string(this->modules.configuration.Version()));
+  aEffects.push_back(CallMeasured({ .organisation = aRequest.organisation,
+                                    .importance = ImportanceOf(aRequest.route),
+                                    .code = aCode,
+                                    .atEntry = true,
+                                    .total = took,
+                                    .retries = aRequest.attempt > 0 ? aRequest.attempt - 1 : 0 }));
+}
+
+bool
+EntryRequests::Abandon(std::uint64_t aExchange, Time aNow, Effects& aEffects)
+{
+  const Requests::iterator found = this->requests.find(aExchange);
+  if (found == this->requests.end()) {
+    return false;
+  }
+  const Request& request = found->second;
+  if (request.attempt == 0) {
+    this->modules.quota.Abandon(aExchange);
+    aEffects.push_back(ForgetExchange({ .exchange = aExchange }));
+  } else {
+    this->modules.picker.NoteEnded(request.node);
+    if (!this->modules.target.Abandon(aExchange, aEffects)) {
+      // The node beside the target lets a request that must not be cut run to its end.
+      aEffects.push_back(CancelSend({ .exchange = aExchange, .attempt = request.attempt }));
+      aEffects.push_back(ForgetExchange({ .exchange = aExchange }));
+    }
+  }
+  AddLogLine(aEffects,
+             LogEvent::kRequestAbandoned,
+             "request=" + request.id + " node=" + request.node +
+               " took_us=" + std::to_string((aNow - request.arrived).count()));
+  aEffects.push_back(CallMeasured({ .organisation = request.organisation,
+                                    .importance = ImportanceOf(request.route),
+                                    .code = ResultCode::kCancelled,
+                                    .atEntry = true,
+                                    .total = aNow - request.arrived }));
+  this->requests.erase(found);
+  return true;
+}
+
+} // namespace jackdawwind
--- /dev/null
+++ b/packages/decisions/mesh/quota_pool.h
@@ -0,0 +1,139 @@
+// Rate and burst of organisations over all nodes.
+//
+//   QuotaPool pool(self, seed);
+//   pool.Configure(table);
+//   switch (pool.Request(exchange, "acme", now)) { ... kTaken, kWaiting, kRefused ... }
+//   pool.Poll(now, effects);                          // sends draws, ends waits
+//   for (const QuotaPool::Decision& decision : pool.TakeDecisions()) { ... }
+//
+// Each organisation's bucket is kept by one live node, chosen by rendezvous hashing, so that small
+// quotas are pooled and need no split. Other nodes draw tokens from it when they need some, a few
+// at a time for organisations that send much. Tokens are conserved: the keeper takes them from its
+// bucket before it grants them; a lost grant loses them.
+//
+// A new keeper starts with an empty bucket, so that a change of keepers grants no second burst. A
+// node that does not reach a keeper lives on a small part of its own, which the unused burst
+// covers: in a partition the sum stays within the bound. A wait ends after kDrawTimeout in any
+// case.
+//
+// One draw at a time goes to each keeper and asks for all organisations, so control traffic grows
+// with the number of keepers in use and not with the request rate.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "decisions/effects.h"
+#include "decisions/mesh/route_table.h"
+#include "util/clock.h"
+#include "values/generated/peer.h"
+
+namespace jackdawwind {
+
+class QuotaPool
+{
+public:
+  using Members = std::map<std::string, Member>;
+
+  enum class Verdict
+  {
+    kTaken,
+    kWaiting,
+    kRefused,
+  };
+
+  struct Decision
+  {
+    std::uint64_t exchange = 0;
+    bool taken = false;
+  };
+
+  /// Time that a request waits for a token; a draw over the link between regions takes 20 ms.
+  static constexpr Duration kDrawTimeout = std::chrono::milliseconds(150);
+
+  explicit QuotaPool(PeerAddress aSelf, Time aStart = Time{});
+
+  void Configure(const RouteTable& aTable, Time aNow);
+  /// aExpectedNodes: nodes that have registered in the store, ended ones among them.
+  void SetMembers(const Members& aMembers, std::size_t aExpectedNodes, Time aNow);
+
+  Verdict Request(std::uint64_t aExchange, const std::string& aOrganisation, Time aNow);
+  /// The request was refused without running: the token may be used again.
+  void Return(const std::string& aOrganisation);
+  void Abandon(std::uint64_t aExchange);
+
+  void Receive(const QuotaDraw& aDraw, Time aNow, Effects& aEffects);
+  void Receive(const QuotaGrant& aGrant, Time aNow);
+
+  void Poll(Time aNow, Effects& aEffects);
+  Time NextWake() const;
+  std::vector<Decision> TakeDecisions();
+
+private:
+  struct Waiter
+  {
+    std::uint64_t exchange = 0;
+    Time until{};
+  };
+
+  struct Bucket
+  {
+    double tokens = 0;
+    Time filledAt{};
+  };
+
+  struct Account
+  {
+    double rate = 0;
+    double burst = 0;
+    PeerAddress keeper;
+    /// Bucket of the organisation, used while this node is its keeper.
+    Bucket bucket;
+    /// Part that this node uses while it does not reach the keeper.
+    Bucket reserve;
+    /// Tokens that were drawn and not used yet.
+    double drawn = 0;
+    Time drawnAt{};
+    std::deque<Waiter> waiters;
+    /// Requests per second here, and when the figure was last updated.
+    double demand = 0;
+    Time demandAt{};
+  };
+
+  struct Channel
+  {
+    PeerAddress keeper;
+    std::uint64_t sequence = 0;
+    Time answerDue = Time::max();
+    Time silentUntil{};
+  };
+
+  bool IsKeeper(const Account& aAccount) const;
+  /// Whether this node has no company yet, or has just started.
+  bool IsAlone() const { return this->liveNodes <= 1; }
+  static void Fill(Bucket& aBucket, double aRate, double aCapacity, Time aNow);
+  static bool TakeOne(Bucket& aBucket);
+  bool TakeReserve(Account& aAccount, Time aNow) const;
+  bool TakeOwn(Account& aAccount, Time aNow);
+  static void NoteDemand(Account& aAccount, Time aNow);
+  static std::uint32_t WantOf(const Account& aAccount);
+  void Draw(Channel& aChannel, Time aNow, Effects& aEffects);
+  void ServeWaiters(Account& aAccount, Time aNow);
+  void ChooseKeepers(const Members& aMembers, Time aNow);
+
+  PeerAddress self;
+  Time start;
+  std::size_t liveNodes = 1;
+  std::size_t expectedNodes = 1;
+  std::map<std::string, Account> accounts;
+  std::map<std::string, Channel> channels;
+  std::map<std::uint64_t, std::string> waitingFor;
+  std::vector<Decision> decisions;
+};
+
+} // namespace jackdawwind
--- /dev/null
+++ b/packages/decisions/mesh/target_registration.cc
@@ -0,0 +1,75 @@
+#include "decisions/mesh/target_registration.h"
+
+#include <utility>
+
+namespace jackdawwind {
+
+bool
+TargetRegistration::IsStale(const TargetBeat& aBeat) const
+{
+  if (aBeat.Instance() == this->endedInstance && aBeat.Born() <= this->endedBorn) {
+    return true;
+  }
+  if (!this->current) {
+    return false;
+  }
+  if (aBeat.Born() != this->current->Born()) {
+    return aBeat.Born() < this->current->Born();
+  }
+  return aBeat.Instance() == this->current->Instance() &&
+         aBeat.Sequence() <= this->current->Sequence();
+}
+
+TargetRegistration::Verdict
+TargetRegistration::Receive(const TargetBeat& aBeat, Time aNow)
+{
+  if (this->IsStale(aBeat)) {
+    return Verdict::kStale;
+  }
+  const bool same =
+    this->current && this->current->Instance() == aBeat.Instance() &&
+    this->current->Born() == aBeat.Born() && this->current->State() == aBeat.State() &&
+    this->current->GetService() == aBeat.GetService() && this->current->Slots() == aBeat.Slots();
+  this->current = aBeat;
+  this->leaseEnd = aNow + kLease;
+  return same ? Verdict::kRenewed : Verdict::kChanged;
+}
+
+bool
+TargetRegistration::Receive(const TargetGone& aGone)
+{
+  if (!this->current || this->current->Instance() != aGone.Instance()) {
+    return false;
+  }
+  this->endedInstance = aGone.Instance();
+  this->endedBorn = this->current->Born();
+  TargetBeat::Fields fields = this->current->ToFields();
+  fields.state = TargetState::kDraining;
+  this->current = TargetBeat(std::move(fields));
+  return true;
+}
+
+bool
+TargetRegistration::Expire(Time aNow)
+{
+  if (!this->current || aNow < this->leaseEnd) {
+    return false;
+  }
+  this->current.reset();
+  this->leaseEnd = Time::max();
+  return true;
+}
+
+TargetState
+TargetRegistration::State() const
+{
+  return this->current ? this->current->State() : TargetState::kNone;
+}
+
+std::string
+TargetRegistration::Service() const
+{
+  return this->current ? this->current->GetService() : std::string();
+}
+
+} // namespace jackdawwind
--- a/packages/decisions/node_core.cc
+++ b/packages/decisions/node_core.cc
@@ -221,6 +221,11 @@
     this->rate.Leave(aNow, aEffects);
   }
   void On(const TimerFired& /*aEvent*/, Time /*aNow*/, Effects& /*aEffects*/) {}
+  /// Events of a fleet that routes by host and path do not reach this core.
+  template<typename Other>
+  void On(const Other& /*aEvent*/, Time /*aNow*/, Effects& /*aEffects*/)
+  {
+  }
 
   void OnPeer(const Probe& aMessage, Time aNow, Effects& aEffects)
   {
@@ -253,6 +258,10 @@
   {
     this->rate.Receive(aMessage, aNow, aEffects);
   }
+  template<typename Other>
+  void OnPeer(const Other& /*aMessage*/, Time /*aNow*/, Effects& /*aEffects*/)
+  {
+  }
   void OnPeer(const ConfigWant& aMessage, Time aNow, Effects& aEffects)
   {
     this->control.Receive(aMessage, aNow, aEffects);
--- a/packages/node/decision_loop.h
+++ b/packages/node/decision_loop.h
@@ -14,6 +14,7 @@
 #include <variant>
 
 #include "decisions/effects.h"
+#include "node/mesh_io.h"
 #include "node/proxy_io.h"
 #include "node/report_item.h"
 #include "util/ring.h"
@@ -25,6 +26,7 @@
 struct EffectRoutes
 {
   std::function<void(ProxyEffect)> proxy;
+  std::function<void(MeshEffect)> mesh = nullptr;
   std::function<void(const SendPeer&)> peers;
   std::function<void(const AppendLog&)> append;
   std::function<void(const FollowLog&)> follow;
@@ -51,6 +53,12 @@
   void operator()(const Complete& aEffect) const { this->routes.proxy(aEffect); }
   void operator()(const CancelDispatch& aEffect) const { this->routes.proxy(aEffect); }
   void operator()(const ForgetPeer& aEffect) const { this->routes.proxy(aEffect); }
+  void operator()(const ForwardHop& aEffect) const { this->routes.mesh(aEffect); }
+  void operator()(const CallTarget& aEffect) const { this->routes.mesh(aEffect); }
+  void operator()(const RelayReply& aEffect) const { this->routes.mesh(aEffect); }
+  void operator()(const RejectRequest& aEffect) const { this->routes.mesh(aEffect); }
+  void operator()(const CancelSend& aEffect) const { this->routes.mesh(aEffect); }
+  void operator()(const ForgetExchange& aEffect) const { this->routes.mesh(aEffect); }
   void operator()(const SendPeer& aEffect) const { this->routes.peers(aEffect); }
   void operator()(const AppendLog& aEffect) const { this->routes.append(aEffect); }
   void operator()(const FollowLog& aEffect) const { this->routes.follow(aEffect); }
--- a/packages/node/main.cc
+++ b/packages/node/main.cc
@@ -14,6 +14,7 @@
 #include "node/log_writer.h"
 #include "node/net.h"
 #include "node/node_process.h"
+#include "platform/run_on_platform.h"
 #include "wire/yaml.h"
 
 namespace jackdawwind::node {
@@ -79,10 +80,16 @@
 Main(int aCount, char** aArguments)
 {
   cxxopts::Options options("jackdawwind", "Overload control node");
-  options.add_options()("settings",
-                        "YAML file with the node's settings",
-                        cxxopts::value<std::string>())("help", "Show this text");
+  options.add_options()(
+    "settings", "YAML file with the node's settings", cxxopts::value<std::string>())(
+    "platform", "Run on the platform, with the settings file that it wrote")(
+    "platform-settings",
+    "Settings file of the platform; by default the one that its variable names",
+    cxxopts::value<std::string>()->default_value(""))("help", "Show this text");
   const cxxopts::ParseResult arguments = options.parse(aCount, aArguments);
+  if (arguments.count("platform") > 0) {
+    return adapter::RunOnPlatform(arguments["platform-settings"].as<std::string>());
+  }
   if (arguments.count("help") > 0 || arguments.count("settings") == 0) {
     std::cout << options.help();
     return arguments.count("help") > 0 ? EXIT_SUCCESS : EXIT_FAILURE;
--- /dev/null
+++ b/packages/node/mesh_io.cc
@@ -0,0 +1,607 @@
+#include "node/mesh_io.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
+
+#include "node/peer_exchange.h"
+#include "wire/codec.h"
+#include "wire/generated/mesh_codec.h"
+
+namespace jackdawwind::node {
+
+namespace {
+
+constexpr const char* kHopHeader = "X-Jackdaw-Hop";
+
+std::string_view
+View(beast::string_view aText)
+{
+  return { aText.data(), aText.size() };
+}
+
+std::optional<Tcp::endpoint>
+EndpointOf(const std::string& aHost, std::uint32_t aPort)
+{
+  ErrorCode error;
+  const asio::ip::address address = asio::ip::make_address(aHost, error);
+  if (error) {
+    return std::nullopt;
+  }
+  return Tcp::endpoint(address, static_cast<std::uint16_t>(aPort));
+}
+
+HttpResponse
+EmptyResponse(http::status aStatus)
+{
+  HttpResponse response;
+  response.result(aStatus);
+  response.prepare_payload();
+  return response;
+}
+
+/// Makes an answer fit for the next connection.
+void
+PrepareAnswer(HttpResponse& aResponse, bool aHeadRequest)
+{
+  StripHopByHop(aResponse);
+  StripReserved(aResponse);
+  if (!aHeadRequest) {
+    aResponse.prepare_payload();
+  }
+}
+
+} // namespace
+
+MeshIo::Opened
+MeshIo::Open(const MeshSettings& aSettings,
+             const MeshFront& aFront,
+             Ring<Event>& aEvents,
+             ReportSink aReport)
+{
+  std::unique_ptr<MeshIo> mesh =
+    std::make_unique<MeshIo>(aSettings, aFront, aEvents, std::move(aReport));
+  const std::optional<ListenError> error = mesh->OpenListeners();
+  if (error) {
+    return *error;
+  }
+  return mesh;
+}
+
+MeshIo::MeshIo(const MeshSettings& aSettings,
+               const MeshFront& aFront,
+               Ring<Event>& aEvents,
+               ReportSink aReport)
+  : settings(aSettings)
+  , front(aFront)
+  , report(std::move(aReport))
+  , budget(aSettings.BodyMemoryBytes())
+  , io(1)
+  , network{ .io = this->io,
+             .pool = this->pool,
+             .budget = this->budget,
+             .maxHeaderBytes = aSettings.MaxHeaderBytes(),
+             .maxBodyBytes = aSettings.MaxBodyBytes() }
+  , events(this->io, aEvents, this->report)
+  , sweepTimer(this->io)
+  , flushTimer(this->io)
+  , effects(kEffectRing, [this] { asio::post(this->io, [this] { this->ApplyEffects(); }); })
+{
+}
+
+MeshIo::~MeshIo()
+{
+  this->Stop();
+}
+
+std::optional<ListenError>
+MeshIo::OpenListeners()
+{
+  for (const ListenAddress& address : { this->settings.Callers(),
+                                        this->settings.PeerCalls(),
+                                        this->settings.Readiness(),
+                                        this->settings.Reports() }) {
+    Listener::Opened opened = Listener::Open(this->io, address);
+    if (const ListenError* error = std::get_if<ListenError>(&opened)) {
+      return *error;
+    }
+    this->listeners.push_back(std::get<std::unique_ptr<Listener>>(std::move(opened)));
+  }
+  return std::nullopt;
+}
+
+void
+MeshIo::Start()
+{
+  // In the order in which they were opened.
+  std::size_t index = 0;
+  for (const Side side : { Side::kCallers, Side::kPeers, Side::kReadiness, Side::kReports }) {
+    this->listeners[index]->Start(
+      [this, side](Tcp::socket aSocket) { this->Accept(side, std::move(aSocket)); });
+    ++index;
+  }
+  this->Sweep();
+  this->thread = std::thread([this] { this->io.run(); });
+}
+
+void
+MeshIo::Submit(MeshEffect aEffect)
+{
+  this->effects.Push(std::move(aEffect));
+}
+
+void
+MeshIo::Stop()
+{
+  if (!this->thread.joinable()) {
+    return;
+  }
+  this->effects.Close();
+  asio::post(this->io, [this] {
+    this->ApplyEffects();
+    for (const std::unique_ptr<Listener>& listener : this->listeners) {
+      listener->Stop();
+    }
+    this->Flush(Clock::now() + kFlushLimit);
+  });
+  this->thread.join();
+}
+
+void
+MeshIo::Accept(Side aSide, Tcp::socket aSocket)
+{
+  if (*this->connectionCount >= kMaxConnections) {
+    this->report(RingDropped{ "connections" });
+    return;
+  }
+  ServerConnection::Handlers handlers;
+  handlers.gone = [this](std::uint64_t aExchange) { this->OnGone(aExchange); };
+  handlers.reject = [this, aSide](const Rejection& aRejection) {
+    return this->RejectUnseen(aSide, aRejection);
+  };
+  handlers.request = [this, aSide](const ServerConnection::Pointer& aConnection,
+                                   HttpRequest aRequest,
+                                   BodyReservation aReservation) {
+    this->OnRequest(aSide, aConnection, std::move(aRequest), std::move(aReservation));
+  };
+  const ServerConnection::Options options{ .maxHeaderBytes = this->settings.MaxHeaderBytes(),
+                                           .maxBodyBytes = this->settings.MaxBodyBytes(),
+                                           .interim = std::nullopt };
+  const ServerConnection::Pointer connection =
+    std::make_shared<ServerConnection>(std::move(aSocket),
+                                       this->io,
+                                       this->budget,
+                                       this->connectionCount,
+                                       options,
+                                       std::move(handlers));
+  this->connections.push_back(connection);
+  connection->Start();
+}
+
+void
+MeshIo::OnRequest(Side aSide,
+                  const ServerConnection::Pointer& aConnection,
+                  HttpRequest aRequest,
+                  BodyReservation aReservation)
+{
+  switch (aSide) {
+    case Side::kCallers:
+      this->OnCaller(aConnection, std::move(aRequest), std::move(aReservation));
+      break;
+    case Side::kPeers:
+      this->OnHop(aConnection, std::move(aRequest), std::move(aReservation));
+      break;
+    case Side::kReadiness:
+      this->OnReadiness(aConnection, aRequest);
+      break;
+    case Side::kReports:
+      this->OnReport(aConnection, aRequest);
+      break;
+  }
+}
+
+HttpResponse
+MeshIo::RejectUnseen(Side aSide, const Rejection& aRejection)
+{
+  this->report(RefusedUnseen{ aRejection.code, aRejection.reason });
+  const RejectRequest rejection({ .code = aRejection.code, .run = RunState::kNotRun });
+  if (aSide == Side::kPeers) {
+    HttpResponse response = RefusalResponse(aRejection.code, RunState::kNotRun);
+    WritePeerResult(response, PeerResult{ .code = aRejection.code, .run = RunState::kNotRun });
+    return response;
+  }
+  return this->front.writeRejection(rejection, "");
+}
+
+void
+MeshIo::Answer(const ServerConnection::Pointer& aConnection, HttpResponse aResponse)
+{
+  aConnection->Respond(std::move(aResponse),
+                       BodyReservation(this->budget),
+                       this->phase == Phase::kDraining ? AfterAnswer::kClose : AfterAnswer::kKeep);
+}
+
+void
+MeshIo::OnCaller(const ServerConnection::Pointer& aConnection,
+                 HttpRequest aRequest,
+                 BodyReservation aReservation)
+{
+  const std::variant<RequestHead, Rejection> read = this->front.readRequest(aRequest);
+  if (const Rejection* rejection = std::get_if<Rejection>(&read)) {
+    this->Answer(aConnection, this->RejectUnseen(Side::kCallers, *rejection));
+    return;
+  }
+  const RequestHead& head = std::get<RequestHead>(read);
+  const std::uint64_t exchange = ++this->lastExchange;
+  const MeshRequestArrived arrived({ .exchange = exchange,
+                                     .requestId = head.requestId,
+                                     .host = head.host,
+                                     .path = head.path,
+                                     .keyHash = head.keyHash,
+                                     .timeout = head.timeout });
+  if (this->exchanges.size() >= kMaxExchanges || !this->events.TryArrival(arrived)) {
+    this->Answer(
+      aConnection,
+      this->RejectUnseen(Side::kCallers, { ResultCode::kNodeBusy, "no room for the request" }));
+    return;
+  }
+  http::request_header<> header(aRequest.base());
+  StripHopByHop(header);
+  header.erase(http::field::content_length);
+  this->front.stripRequest(header);
+  header.version(11);
+  this->Add(exchange,
+            Exchange{ .connection = aConnection,
+                      .requestId = head.requestId,
+                      .header = std::move(header),
+                      .body = std::make_shared<const std::string>(std::move(aRequest.body())),
+                      .reservation = std::move(aReservation),
+                      .attempts = {} });
+}
+
+void
+MeshIo::OnHop(const ServerConnection::Pointer& aConnection,
+              HttpRequest aRequest,
+              BodyReservation aReservation)
+{
+  const wire::Decoded<HopContext> context =
+    wire::DecodeText<HopContext>(View(aRequest[kHopHeader]));
+  if (const wire::DecodeError* error = std::get_if<wire::DecodeError>(&context)) {
+    this->Answer(
+      aConnection,
+      this->RejectUnseen(Side::kPeers,
+                         { ResultCode::kBadPeerCredential, "hop context: " + error->path }));
+    return;
+  }
+  const std::uint64_t exchange = ++this->lastExchange;
+  const std::string requestId = this->front.readRequestId(aRequest);
+  const HopArrived arrived(
+    { .exchange = exchange, .requestId = requestId, .context = std::get<HopContext>(context) });
+  if (this->exchanges.size() >= kMaxExchanges || !this->events.TryArrival(arrived)) {
+    this->Answer(
+      aConnection,
+      this->RejectUnseen(Side::kPeers, { ResultCode::kNodeBusy, "no room for the request" }));
+    return;
+  }
+  http::request_header<> header(aRequest.base());
+  StripHopByHop(header);
+  header.erase(http::field::content_length);
+  header.erase(kHopHeader);
+  header.version(11);
+  this->Add(exchange,
+            Exchange{ .connection = aConnection,
+                      .hop = true,
+                      .requestId = requestId,
+                      .header = std::move(header),
+                      .body = std::make_shared<const std::string>(std::move(aRequest.body())),
+                      .reservation = std::move(aReservation),
+                      .attempts = {} });
+}
+
+void
+MeshIo::Add(std::uint64_t aExchange, Exchange aNew)
+{
+  const ServerConnection::Pointer connection = aNew.connection;
+  this->exchanges.emplace(aExchange, std::move(aNew));
+  connection->Wait(aExchange);
+}
+
+void
+MeshIo::OnReadiness(const ServerConnection::Pointer& aConnection, const HttpRequest& aRequest)
+{
+  if (View(aRequest.target()) != this->front.readinessPath) {
+    this->Answer(aConnection, EmptyResponse(http::status::not_found));
+    return;
+  }
+  const bool ready = this->phase == Phase::kServing;
+  aConnection->Respond(EmptyResponse(ready ? http::status::ok : http::status::service_unavailable),
+                       BodyReservation(this->budget),
+                       AfterAnswer::kKeep);
+}
+
+void
+MeshIo::OnReport(const ServerConnection::Pointer& aConnection, const HttpRequest& aRequest)
+{
+  const std::variant<Event, Rejection> read = this->front.readReport(aRequest);
+  if (const Rejection* rejection = std::get_if<Rejection>(&read)) {
+    ReportEvent(this->report, LogEvent::kBeatRejected, "reason=\"" + rejection->reason + "\"");
+    this->Answer(aConnection, this->RejectUnseen(Side::kReports, *rejection));
+    return;
+  }
+  if (!this->events.TryArrival(std::get<Event>(read))) {
+    this->Answer(aConnection, EmptyResponse(http::status::service_unavailable));
+    return;
+  }
+  this->Answer(aConnection, this->front.writeReportTaken());
+}
+
+void
+MeshIo::OnGone(std::uint64_t aExchange)
+{
+  const Exchanges::iterator found = this->exchanges.find(aExchange);
+  if (found == this->exchanges.end()) {
+    return;
+  }
+  found->second.connection.reset();
+  this->events.Deliver(ExchangeAbandoned({ .exchange = aExchange }));
+}
+
+void
+MeshIo::ApplyEffects()
+{
+  for (const MeshEffect& effect : this->effects.PopReady()) {
+    std::visit([this](const auto& aEffect) { this->Apply(aEffect); }, effect);
+  }
+}
+
+void
+MeshIo::Apply(const ForwardHop& aEffect)
+{
+  const Exchanges::iterator found = this->exchanges.find(aEffect.Exchange());
+  const PeerAddress& peer = aEffect.Peer();
+  const std::optional<Tcp::endpoint> endpoint = EndpointOf(peer.Host(), peer.CallPort());
+  if (found == this->exchanges.end() || !endpoint) {
+    this->DeliverEnd(aEffect.Exchange(), aEffect.Attempt(), ConnectFailed());
+    return;
+  }
+  this->peers[peer.Node()] = *endpoint;
+  OutgoingRequest request{
+    .endpoint = *endpoint,
+    .header = found->second.header,
+    .body = found->second.body,
+    .reuse = aEffect.Context().Idempotent() ? Reuse::kAny : Reuse::kRecent,
+    .timeout = aEffect.Timeout(),
+    .silence = std::nullopt,
+    .belongs = {},
+  };
+  request.header.set(kHopHeader, wire::EncodeText(aEffect.Context()));
+  this->Send(aEffect.Exchange(), aEffect.Attempt(), std::move(request));
+}
+
+void
+MeshIo::Apply(const CallTarget& aEffect)
+{
+  const Exchanges::iterator found = this->exchanges.find(aEffect.Exchange());
+  const std::optional<Tcp::endpoint> endpoint = EndpointOf(aEffect.Host(), aEffect.Port());
+  if (found == this->exchanges.end() || !endpoint) {
+    this->DeliverEnd(aEffect.Exchange(), aEffect.Attempt(), ConnectFailed());
+    return;
+  }
+  OutgoingRequest request{
+    .endpoint = *endpoint,
+    .header = found->second.header,
+    .body = found->second.body,
+    .reuse = aEffect.Idempotent() ? Reuse::kAny : Reuse::kRecent,
+    .timeout = aEffect.Timeout(),
+    .silence = std::nullopt,
+    .endsWithConnection = true,
+    .belongs = [front = &this->front, id = found->second.requestId](
+                 const HttpResponse& aResponse) { return front->answersRequest(aResponse, id); },
+  };
+  this->front.writeTargetRequest(request.header, aEffect);
+  this->Send(aEffect.Exchange(), aEffect.Attempt(), std::move(request));
+}
+
+void
+MeshIo::Send(std::uint64_t aExchange, std::uint32_t aAttempt, OutgoingRequest aRequest)
+{
+  const bool hop = !aRequest.belongs;
+  Exchange& exchange = this->exchanges.find(aExchange)->second;
+  exchange.attempts[aAttempt].running = OutgoingExchange::Start(
+    this->network, std::move(aRequest), [this, aExchange, aAttempt, hop](OutgoingResult aResult) {
+      this->OnSent(aExchange, aAttempt, hop, std::move(aResult));
+    });
+}
+
+void
+MeshIo::OnSent(std::uint64_t aExchange, std::uint32_t aAttempt, bool aHop, OutgoingResult aResult)
+{
+  const Exchanges::iterator found = this->exchanges.find(aExchange);
+  if (found == this->exchanges.end()) {
+    return;
+  }
+  struct Visitor
+  {
+    SendOutcome operator()(WholeAnswer& aAnswer) const
+    {
+      return this->self.Keep(this->attempt, std::move(aAnswer), this->hop);
+    }
+    SendOutcome operator()(const NothingSent&) const { return ConnectFailed(); }
+    SendOutcome operator()(const Broken&) const { return Lost(); }
+    SendOutcome operator()(const OutOfTime&) const { return TimedOut(); }
+
+    MeshIo& self;
+    Attempt& attempt;
+    bool hop;
+  };
+  Attempt& attempt = found->second.attempts[aAttempt];
+  attempt.running.reset();
+  this->DeliverEnd(aExchange, aAttempt, std::visit(Visitor{ *this, attempt, aHop }, aResult));
+}
+
+SendOutcome
+MeshIo::Keep(Attempt& aAttempt, WholeAnswer aAnswer, bool aHop)
+{
+  if (!aHop) {
+    const TargetReplied reply = this->front.readReply(aAnswer.response);
+    aAttempt.answer.emplace(std::move(aAnswer));
+    return reply;
+  }
+  const std::optional<PeerResult> result = ReadPeerResult(aAnswer.response);
+  if (!result) {
+    return Lost();
+  }
+  aAttempt.answer.emplace(std::move(aAnswer));
+  return HopAnswered({ .status = aAttempt.answer->response.result_int(),
+                       .code = result->code,
+                       .run = result->run,
+                       .load = result->load });
+}
+
+void
+MeshIo::DeliverEnd(std::uint64_t aExchange, std::uint32_t aAttempt, const SendOutcome& aOutcome)
+{
+  this->events.Deliver(
+    SendEnded({ .exchange = aExchange, .attempt = aAttempt, .outcome = aOutcome }));
+}
+
+AfterAnswer
+MeshIo::After(const Exchange& aExchange) const
+{
+  // Connections of other nodes are closed by them, so that no request meets a closing connection.
+  return this->phase == Phase::kDraining && !aExchange.hop ? AfterAnswer::kClose
+                                                           : AfterAnswer::kKeep;
+}
+
+void
+MeshIo::Apply(const RelayReply& aEffect)
+{
+  const Exchanges::iterator found = this->exchanges.find(aEffect.Exchange());
+  if (found == this->exchanges.end()) {
+    return;
+  }
+  Exchange& exchange = found->second;
+  Attempt& attempt = exchange.attempts[aEffect.Attempt()];
+  if (exchange.connection && attempt.answer) {
+    WholeAnswer& answer = *attempt.answer;
+    PrepareAnswer(answer.response, exchange.header.method() == http::verb::head);
+    if (exchange.hop) {
+      WritePeerResult(
+        answer.response,
+        PeerResult{ .code = ResultCode::kOk, .run = RunState::kRan, .load = aEffect.Load() });
+    }
+    exchange.connection->Respond(
+      std::move(answer.response), std::move(answer.reservation), this->After(exchange));
+  }
+  this->Erase(found);
+}
+
+void
+MeshIo::Apply(const RejectRequest& aEffect)
+{
+  const Exchanges::iterator found = this->exchanges.find(aEffect.Exchange());
+  if (found == this->exchanges.end()) {
+    return;
+  }
+  const Exchange& exchange = found->second;
+  if (exchange.connection) {
+    HttpResponse response;
+    if (exchange.hop) {
+      response = RefusalResponse(aEffect.Code(), aEffect.Run());
+      WritePeerResult(
+        response,
+        PeerResult{ .code = aEffect.Code(), .run = aEffect.Run(), .load = aEffect.Load() });
+    } else {
+      response = this->front.writeRejection(aEffect, exchange.requestId);
+    }
+    exchange.connection->Respond(
+      std::move(response), BodyReservation(this->budget), this->After(exchange));
+  }
+  this->Erase(found);
+}
+
+void
+MeshIo::Apply(const CancelSend& aEffect)
+{
+  const Exchanges::iterator found = this->exchanges.find(aEffect.Exchange());
+  if (found == this->exchanges.end()) {
+    return;
+  }
+  Attempt& attempt = found->second.attempts[aEffect.Attempt()];
+  if (attempt.running) {
+    attempt.running->Cancel();
+    attempt.running.reset();
+  }
+}
+
+void
+MeshIo::Apply(const ForgetExchange& aEffect)
+{
+  const Exchanges::iterator found = this->exchanges.find(aEffect.Exchange());
+  if (found != this->exchanges.end()) {
+    this->Erase(found);
+  }
+}
+
+void
+MeshIo::Apply(const ForgetPeer& aEffect)
+{
+  const auto found = this->peers.find(aEffect.Node());
+  if (found != this->peers.end()) {
+    this->pool.Discard(found->second);
+    this->peers.erase(found);
+  }
+}
+
+void
+MeshIo::Apply(const PhaseChanged& aEffect)
+{
+  this->phase = aEffect.GetPhase();
+}
+
+void
+MeshIo::Erase(Exchanges::iterator aExchange)
+{
+  for (const std::pair<const std::uint32_t, Attempt>& attempt : aExchange->second.attempts) {
+    if (attempt.second.running) {
+      attempt.second.running->Cancel();
+    }
+  }
+  this->exchanges.erase(aExchange);
+}
+
+void
+MeshIo::Sweep()
+{
+  this->pool.Sweep(Clock::now());
+  std::erase_if(this->connections, [](const std::weak_ptr<ServerConnection>& aConnection) {
+    return aConnection.expired();
+  });
+  this->sweepTimer.expires_after(kSweepInterval);
+  this->sweepTimer.async_wait([this](const ErrorCode& aError) {
+    if (!aError) {
+      this->Sweep();
+    }
+  });
+}
+
+void
+MeshIo::Flush(Time aDeadline)
+{
+  const bool writing = std::any_of(this->connections.begin(),
+                                   this->connections.end(),
+                                   [](const std::weak_ptr<ServerConnection>& aConnection) {
+                                     const ServerConnection::Pointer one = aConnection.lock();
+                                     return one && one->IsWriting();
+                                   });
+  if (!writing || Clock::now() >= aDeadline) {
+    this->io.stop();
+    return;
+  }
+  this->flushTimer.expires_after(kFlushCheck);
+  this->flushTimer.async_wait([this, aDeadline](const ErrorCode&) { this->Flush(aDeadline); });
+}
+
+} // namespace jackdawwind::node
--- a/packages/node/net.h
+++ b/packages/node/net.h
@@ -1,6 +1,7 @@
 // Short names of the network library, and the timer that limits every socket operation.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -25,6 +26,18 @@
 using HttpResponse = http::response<http::string_body>;
 using ClockTimer = asio::basic_waitable_timer<Clock>;
 
+/// Time after which unacknowledged bytes break a connection. Retransmissions on a lossy link take
+/// a few hundred milliseconds; a silent connection must be noticed within a caller's patience.
+constexpr std::chrono::milliseconds kAcknowledgeLimit{ 1500 };
+/// Idle time before a connection is probed, time between probes, and probes until it is broken.
+constexpr std::chrono::seconds kProbeAfter{ 1 };
+constexpr std::chrono::seconds kProbeInterval{ 1 };
+constexpr int kProbes = 2;
+
+/// Makes the system break a connection whose other side went silent, idle or not. A system that
+/// refuses an option only notices later.
+void LimitSilence(Tcp::socket& aSocket);
+
 /// Limits the time of one operation of an object that lives in shared_ptr.
 ///
 ///   this->timer.Arm(kConnectTimeout, [self = shared_from_this()] { self->OnConnectTimeout(); });
--- a/packages/node/outgoing_exchange.cc
+++ b/packages/node/outgoing_exchange.cc
@@ -94,6 +94,7 @@
   }
   ErrorCode ignored;
   this->connection->socket.set_option(Tcp::no_delay(true), ignored);
+  LimitSilence(this->connection->socket);
   this->connection->opened = Clock::now();
   this->serializer.emplace(this->message);
   this->stepTimer.Disarm();
@@ -167,9 +168,8 @@
   if (!this->done) {
     return;
   }
-  // A body that ends with the connection cannot be told from a truncated one.
-  const bool endless =
-    this->parser->is_header_done() && !this->parser->is_done() && this->parser->need_eof();
+  const bool endless = !this->request.endsWithConnection && this->parser->is_header_done() &&
+                       !this->parser->is_done() && this->parser->need_eof();
   if (aError || endless || !this->HoldBody()) {
     this->Finish(Broken{});
     return;
@@ -207,8 +207,17 @@
     this->ReadAnswer();
     return;
   }
+  if (this->request.belongs && !this->request.belongs(this->parser->get())) {
+    ++this->strays;
+    if (this->strays > kMaxStrays || !this->parser->get().keep_alive()) {
+      this->Finish(Broken{});
+    } else {
+      this->ReadAnswer();
+    }
+    return;
+  }
   WholeAnswer answer{ this->parser->release(), std::move(this->reservation) };
-  if (answer.response.keep_alive() && this->serializer->is_done() && this->buffer.size() == 0) {
+  if (answer.response.keep_alive() && this->strays == 0 && this->serializer->is_done() && this->buffer.size() == 0) {
     this->network.pool.Return(this->request.endpoint, std::move(*this->connection));
     this->connection.reset();
   }
--- a/packages/node/outgoing_exchange.h
+++ b/packages/node/outgoing_exchange.h
@@ -48,6 +48,12 @@
   Duration timeout{};
   /// Longest time without any byte; nothing for no such limit.
   std::optional<Duration> silence;
+  /// Whether an answer without a length may end with its connection. Between nodes it may not,
+  /// since it cannot be told from a truncated one.
+  bool endsWithConnection = false;
+  /// Whether an answer is one to this request; empty for any. Others are read and dropped: a faulty
+  /// target may send an answer twice, and the second stands where the next one is expected.
+  std::function<bool(const HttpResponse&)> belongs = nullptr;
 };
 
 /// A complete answer.
@@ -81,6 +87,8 @@
 
   /// Time in which a connection must be open; a slower node counts as not reachable.
   static constexpr Duration kConnectTimeout = std::chrono::milliseconds(500);
+  /// Answers to other requests that are dropped before the connection counts as broken.
+  static constexpr unsigned kMaxStrays = 3;
 
   static std::shared_ptr<OutgoingExchange> Start(const OutgoingNetwork& aNetwork,
                                                  OutgoingRequest aRequest,
@@ -114,6 +122,7 @@
   std::optional<PooledConnection> connection;
   bool reused = false;
   bool anyWritten = false;
+  unsigned strays = 0;
   http::request<Body> message;
   std::optional<http::request_serializer<Body>> serializer;
   beast::flat_buffer buffer;
