Bind every peer message of the union in the RPC server

The log showed draws that timed out after 150 ms and undelivered peer messages: the RPC server listed the bound messages by hand and answered the new ones as unknown methods. Ruled out: the keeper's bucket (it never saw a draw). Change: the server binds all members of PeerMessage.

--- a/packages/node/rpc_server.cc
+++ b/packages/node/rpc_server.cc
@@ -33,14 +33,14 @@
   , received(std::move(aReceived))
   , invalid(std::move(aInvalid))
 {
-  this->Bind<Probe>();
-  this->Bind<ProbeAck>();
-  this->Bind<ProbeRequest>();
-  this->Bind<MemberSync>();
-  this->Bind<StewardReport>();
-  this->Bind<StewardGrant>();
-  this->Bind<ConfigWant>();
-  this->Bind<ConfigRelay>();
+  this->BindAll(static_cast<const PeerMessage*>(nullptr));
+}
+
+template<typename... Messages>
+void
+RpcServer::BindAll(const std::variant<Messages...>* /*aUnion*/)
+{
+  (this->Bind<Messages>(), ...);
 }
 
 template<typename Message>
--- a/packages/node/rpc_server.h
+++ b/packages/node/rpc_server.h
@@ -43,6 +43,9 @@
   RpcServer(RpcConnector& aConnector, Received aReceived, Invalid aInvalid);
 
 private:
+  /// Binds every message of the union, so that a new one cannot be forgotten here.
+  template<typename... Messages>
+  void BindAll(const std::variant<Messages...>* aUnion);
   template<typename Message>
   void Bind();
   template<typename Message>
