--- a/packages/decisions/mesh/entry_requests.cc
+++ b/packages/decisions/mesh/entry_requests.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "decisions/mesh/request_rank.h"
 #include "values/text.h"
 
 namespace jackdawwind {
@@ -14,11 +15,6 @@
 constexpr std::uint32_t kMaxRefusals = 2;
 /// A send with less time than this left cannot be answered.
 constexpr Duration kLeastTime = std::chrono::milliseconds(20);
-/// Ranks between two organisations' priorities; routes rank within.
-constexpr std::uint32_t kRanksPerPriority = 100;
-/// Ranks of requests of callers begin here: calls of running targets go first, since a call that is
-/// refused wastes the whole chain above it.
-constexpr std::uint32_t kFirstCallerRank = 1000;
 constexpr std::uint32_t kFirstServerError = 500;
 
 /// Advice to callers: short where the cause passes quickly, spread so that they do not return
@@ -115,13 +111,12 @@
       return ResultCode::kUnknownKey;
     }
     request.organisation = organisation->Name();
-    request.rank = kFirstCallerRank +
-                   organisation->Priority().value_or(route->Priority()) * kRanksPerPriority +
-                   std::min(route->Priority(), kRanksPerPriority - 1);
+    request.rank = CallerRank(organisation->Priority(), route->Priority());
   }
   request.exchange = aArrived.Exchange();
   request.id = aArrived.RequestId();
   request.route = *route;
+  request.bodyBytes = aArrived.BodyBytes();
   request.service = this->modules.splits.Choose(*route);
   request.arrived = aNow;
   request.deadline =
@@ -166,8 +161,10 @@
   if (remaining < kLeastTime) {
     return false;
   }
-  const std::optional<PeerAddress> peer =
-    this->modules.picker.Pick(request.service, request.tried, this->modules.members, aNow);
+  const std::optional<PeerAddress> peer = this->modules.picker.Pick(
+    { .service = request.service, .tried = request.tried, .bodyBytes = request.bodyBytes },
+    this->modules.members,
+    aNow);
   if (!peer) {
     return false;
   }
@@ -425,7 +422,7 @@
     aEffects.push_back(ForgetExchange({ .exchange = aExchange }));
   } else {
     this->modules.picker.NoteEnded(request.node);
-    if (!this->modules.target.Abandon(aExchange, aEffects)) {
+    if (!this->modules.target.Abandon(aExchange, aNow, aEffects)) {
       // The node beside the target lets a request that must not be cut run to its end.
       aEffects.push_back(CancelSend({ .exchange = aExchange, .attempt = request.attempt }));
       aEffects.push_back(ForgetExchange({ .exchange = aExchange }));
--- a/packages/decisions/mesh/entry_requests.h
+++ b/packages/decisions/mesh/entry_requests.h
@@ -74,6 +74,7 @@
     std::string service;
     std::string organisation;
     std::uint32_t rank = 0;
+    std::uint64_t bodyBytes = 0;
     Time arrived{};
     Time deadline{};
     std::uint32_t attempt = 0;
--- a/packages/decisions/mesh/mesh_core.cc
+++ b/packages/decisions/mesh/mesh_core.cc
@@ -133,7 +133,7 @@
   void On(const ExchangeAbandoned& aEvent, Time aNow, Effects& aEffects)
   {
     if (!this->entry.Abandon(aEvent.Exchange(), aNow, aEffects)) {
-      this->target.Abandon(aEvent.Exchange(), aEffects);
+      this->target.Abandon(aEvent.Exchange(), aNow, aEffects);
     }
   }
   void On(const TargetBeat& aEvent, Time aNow, Effects& aEffects)
--- a/packages/decisions/mesh/node_picker.cc
+++ b/packages/decisions/mesh/node_picker.cc
@@ -12,7 +12,10 @@
 constexpr double kSameNode = 0;
 constexpr double kSameDomain = 1;
 constexpr double kSameRegion = 5;
-constexpr double kOtherRegion = 40;
+constexpr double kOtherRegion = 120;
+constexpr double kSameRegionPerKilobyte = 0.5;
+constexpr double kOtherRegionPerKilobyte = 8;
+constexpr double kBytesPerKilobyte = 1024;
 /// Load from which a request is likely to wait.
 constexpr double kBusyLoad = 0.75;
 /// Rise of the cost with load below and above that.
@@ -37,16 +40,25 @@
 }
 
 double
-NodePicker::CostOf(const Member& aMember, Time aNow) const
+NodePicker::DistanceOf(const Member& aMember, std::uint64_t aBodyBytes) const
 {
-  double cost = kOtherRegion;
   if (aMember.Address().Node() == this->options.node) {
-    cost = kSameNode;
-  } else if (aMember.GetDomain() == this->options.domain) {
-    cost = kSameDomain;
-  } else if (aMember.Region() == this->options.region) {
-    cost = kSameRegion;
+    return kSameNode;
   }
+  const double kilobytes = static_cast<double>(aBodyBytes) / kBytesPerKilobyte;
+  if (aMember.GetDomain() == this->options.domain) {
+    return kSameDomain;
+  }
+  if (aMember.Region() == this->options.region) {
+    return kSameRegion + kilobytes * kSameRegionPerKilobyte;
+  }
+  return kOtherRegion + kilobytes * kOtherRegionPerKilobyte;
+}
+
+double
+NodePicker::CostOf(const Member& aMember, std::uint64_t aBodyBytes, Time aNow) const
+{
+  const double cost = this->DistanceOf(aMember, aBodyBytes);
   const auto found = this->records.find(aMember.Address().Node());
   if (found == this->records.end()) {
     return cost;
@@ -62,10 +74,7 @@
 }
 
 std::optional<PeerAddress>
-NodePicker::Pick(const std::string& aService,
-                 const std::set<std::string>& aTried,
-                 const Members& aMembers,
-                 Time aNow)
+NodePicker::Pick(const Wish& aWish, const Members& aMembers, Time aNow)
 {
   const Member* best = nullptr;
   double bestCost = 0;
@@ -73,9 +82,9 @@
   for (const Members::value_type& entry : aMembers) {
     const Member& member = entry.second;
     const bool usable =
-      member.GetService() == aService && member.GetTargetState() == TargetState::kReady &&
+      member.GetService() == aWish.service && member.GetTargetState() == TargetState::kReady &&
       (member.State() == NodeState::kAlive || member.State() == NodeState::kSuspect) &&
-      !aTried.contains(entry.first);
+      !aWish.tried.contains(entry.first);
     if (!usable) {
       continue;
     }
@@ -83,7 +92,8 @@
     // Excluded and suspect nodes are the last resort.
     const bool excluded = member.State() == NodeState::kSuspect ||
                           (record != this->records.end() && record->second.excludedUntil > aNow);
-    const double cost = this->CostOf(member, aNow) + this->random.Fraction() * kTieBreak;
+    const double cost =
+      this->CostOf(member, aWish.bodyBytes, aNow) + this->random.Fraction() * kTieBreak;
     if (best == nullptr || (bestExcluded && !excluded) ||
         (bestExcluded == excluded && cost < bestCost)) {
       best = &member;
--- a/packages/decisions/mesh/node_picker.h
+++ b/packages/decisions/mesh/node_picker.h
@@ -1,7 +1,8 @@
 // Chooses the node, and with it the target, that a request is sent to.
 //
 //   NodePicker picker(options, seed);
-//   std::optional<PeerAddress> peer = picker.Pick("fleet", tried, members, now);
+//   std::optional<PeerAddress> peer =
+//     picker.Pick({ .service = "fleet", .tried = tried }, members, now);
 //   picker.NoteSent(peer->Node());
 //   picker.NoteAnswer(peer->Node(), load, now);        // or NoteFailure
 //
@@ -37,11 +38,16 @@
 
   NodePicker(Options aOptions, std::uint64_t aSeed);
 
+  struct Wish
+  {
+    const std::string& service;
+    /// Nodes that are left out.
+    const std::set<std::string>& tried;
+    std::uint64_t bodyBytes = 0;
+  };
+
   /// Nothing when no live node has a ready target of the service that was not tried.
-  std::optional<PeerAddress> Pick(const std::string& aService,
-                                  const std::set<std::string>& aTried,
-                                  const Members& aMembers,
-                                  Time aNow);
+  std::optional<PeerAddress> Pick(const Wish& aWish, const Members& aMembers, Time aNow);
   void NoteSent(const std::string& aNode);
   void NoteAnswer(const std::string& aNode, std::uint32_t aLoadPerMille, Time aNow);
   /// No connection, or one that broke.
@@ -61,7 +67,8 @@
     Time excludedUntil{};
   };
 
-  double CostOf(const Member& aMember, Time aNow) const;
+  double DistanceOf(const Member& aMember, std::uint64_t aBodyBytes) const;
+  double CostOf(const Member& aMember, std::uint64_t aBodyBytes, Time aNow) const;
 
   Options options;
   Random random;
--- a/packages/decisions/mesh/target_gate.cc
+++ b/packages/decisions/mesh/target_gate.cc
@@ -1,5 +1,7 @@
 #include "decisions/mesh/target_gate.h"
 
+#include "decisions/mesh/request_rank.h"
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -13,6 +15,8 @@
 /// Weight of the newest sample in a mean of about ten.
 constexpr double kSampleWeight = 0.1;
 constexpr std::uint32_t kPerMille = 1000;
+/// Part of the slots that is the callers' while one of them waits.
+constexpr double kCallersPart = 0.25;
 
 Duration
 Blend(Duration aMean, Duration aSample)
@@ -31,13 +35,66 @@
   return found == this->routeTime.end() ? kFirstGuess : found->second;
 }
 
+void
+TargetGate::SetSlots(std::uint32_t aSlots)
+{
+  this->slots = aSlots;
+  this->chain.SetSlots(aSlots);
+}
+
+std::size_t
+TargetGate::WaitingCallers() const
+{
+  const auto first = this->waiting.lower_bound(Key{ kFirstCallerRank, 0 });
+  return first == this->waiting.end() ? 0 : 1;
+}
+
+bool
+TargetGate::HasRoom(std::uint32_t aRank) const
+{
+  if (this->Running() >= this->slots) {
+    return false;
+  }
+  if (!IsCall(aRank)) {
+    return this->runningCallers < this->chain.Limit();
+  }
+  if (this->WaitingCallers() == 0) {
+    return true;
+  }
+  const std::size_t part = static_cast<std::size_t>(this->slots * kCallersPart);
+  const std::size_t owned = std::min(part, this->chain.Limit());
+  const std::size_t kept = owned > this->runningCallers ? owned - this->runningCallers : 0;
+  return this->Running() + kept < this->slots;
+}
+
+void
+TargetGate::CountRunning(std::uint32_t aRank)
+{
+  ++(IsCall(aRank) ? this->runningCalls : this->runningCallers);
+}
+
+TargetGate::Queue::iterator
+TargetGate::NextToRun()
+{
+  const Queue::iterator first = this->waiting.begin();
+  if (first == this->waiting.end() || this->HasRoom(first->first.rank)) {
+    return first;
+  }
+  const Queue::iterator caller = this->waiting.lower_bound(Key{ kFirstCallerRank, 0 });
+  if (caller == this->waiting.end() || !this->HasRoom(caller->first.rank)) {
+    return this->waiting.end();
+  }
+  return caller;
+}
+
 Duration
 TargetGate::ExpectedWait(std::uint32_t aRank) const
 {
   const auto end = this->waiting.upper_bound(Key{ aRank, this->lastNumber });
   const auto ahead = std::distance(this->waiting.begin(), end);
   const Duration mean = this->meanTime > Duration::zero() ? this->meanTime : kFirstGuess;
-  return mean * (ahead + 1) / std::max<std::uint32_t>(this->slots, 1);
+  const std::size_t room = IsCall(aRank) ? this->slots : this->chain.Limit();
+  return mean * (ahead + 1) / static_cast<std::int64_t>(std::max<std::size_t>(room, 1));
 }
 
 Time
@@ -50,14 +107,15 @@
 TargetGate::Verdict
 TargetGate::Offer(const Waiting& aWaiting, Time aNow)
 {
-  if (this->running < this->slots && this->waiting.empty()) {
-    ++this->running;
+  const std::uint32_t rank = aWaiting.context.Rank();
+  const bool overtakes = this->waiting.empty() || rank < this->waiting.begin()->first.rank;
+  if (overtakes && this->HasRoom(rank)) {
+    this->CountRunning(rank);
     return Verdict::kRun;
   }
   if (this->waiting.size() >= kMaxWaiting) {
     return Verdict::kFull;
   }
-  const std::uint32_t rank = aWaiting.context.Rank();
   const Duration expected = this->ExpectedTime(aWaiting.context.RouteName());
   if (aNow + this->ExpectedWait(rank) + expected > aWaiting.deadline) {
     return Verdict::kTooLate;
@@ -82,12 +140,13 @@
 std::optional<TargetGate::Waiting>
 TargetGate::TakeNext()
 {
-  if (this->waiting.empty() || this->running >= this->slots) {
+  const Queue::iterator entry = this->NextToRun();
+  if (entry == this->waiting.end()) {
     return std::nullopt;
   }
-  Waiting next = this->waiting.begin()->second.request;
-  this->Erase(this->waiting.begin());
-  ++this->running;
+  Waiting next = entry->second.request;
+  this->Erase(entry);
+  this->CountRunning(next.context.Rank());
   return next;
 }
 
@@ -128,17 +187,25 @@
 }
 
 void
-TargetGate::End(const std::string& aRoute, std::optional<Duration> aTook)
+TargetGate::Finish(const HopContext& aContext, const End& aEnd, Time aNow)
 {
-  if (this->running > 0) {
-    --this->running;
+  const std::uint32_t rank = aContext.Rank();
+  std::size_t& running = IsCall(rank) ? this->runningCalls : this->runningCallers;
+  if (!IsCall(rank) && aEnd.failed) {
+    this->chain.NoteFailure(running, RoutePriorityOf(rank), aNow);
+  } else if (!IsCall(rank) && aEnd.took) {
+    this->chain.NoteSuccess(running);
+  }
+  if (running > 0) {
+    --running;
   }
-  if (!aTook) {
+  if (!aEnd.took) {
     return;
   }
-  const auto entry = this->routeTime.try_emplace(aRoute, *aTook).first;
-  entry->second = Blend(entry->second, *aTook);
-  this->meanTime = this->meanTime > Duration::zero() ? Blend(this->meanTime, *aTook) : *aTook;
+  const auto entry = this->routeTime.try_emplace(aContext.RouteName(), *aEnd.took).first;
+  entry->second = Blend(entry->second, *aEnd.took);
+  this->meanTime =
+    this->meanTime > Duration::zero() ? Blend(this->meanTime, *aEnd.took) : *aEnd.took;
 }
 
 Time
@@ -150,8 +217,11 @@
 std::uint32_t
 TargetGate::LoadPerMille() const
 {
-  const std::size_t load = this->running + this->waiting.size();
-  return static_cast<std::uint32_t>(load * kPerMille / std::max<std::uint32_t>(this->slots, 1));
+  const std::size_t load = this->Running() + this->waiting.size();
+  const std::size_t all = load * kPerMille / std::max<std::uint32_t>(this->slots, 1);
+  const std::size_t callers =
+    this->runningCallers * kPerMille / std::max<std::size_t>(this->chain.Limit(), 1);
+  return static_cast<std::uint32_t>(std::max(all, callers));
 }
 
 } // namespace jackdawwind
--- a/packages/decisions/mesh/target_gate.h
+++ b/packages/decisions/mesh/target_gate.h
@@ -10,7 +10,9 @@
 // Every request for the target passes this gate, so it knows exactly how many run and never sends
 // more than the target has slots. Answers the load patterns "more demand than slots" and "target
 // turns slow": what cannot finish in time is refused when it arrives, what waited for too long is
-// refused as soon as it cannot finish any more, lower ranks run first. An operation costs the
+// refused as soon as it cannot finish any more, lower ranks run first. Callers' requests keep
+// within the ChainLimit, and while any of them waits, a part of the slots is theirs: calls that
+// take all slots of a service would starve the callers of that service. An operation costs the
 // logarithm of the queue's length.
 #pragma once
 
@@ -23,6 +25,7 @@
 #include <string>
 #include <vector>
 
+#include "decisions/mesh/chain_limit.h"
 #include "util/clock.h"
 #include "values/generated/mesh.h"
 
@@ -50,7 +53,7 @@
 
   static constexpr std::size_t kMaxWaiting = 2048;
 
-  void SetSlots(std::uint32_t aSlots) { this->slots = aSlots; }
+  void SetSlots(std::uint32_t aSlots);
   Verdict Offer(const Waiting& aWaiting, Time aNow);
   /// Highest-ranked waiting request if there is a free slot; it counts as running.
   std::optional<Waiting> TakeNext();
@@ -60,11 +63,19 @@
   std::vector<Waiting> TakeAll();
   /// Removes a waiting request whose caller left; false when it does not wait.
   bool Abandon(std::uint64_t aExchange);
-  /// A running request ended; aTook is its time at the target when it was answered.
-  void End(const std::string& aRoute, std::optional<Duration> aTook);
+  /// How a running request ended.
+  struct End
+  {
+    /// Time at the target; nothing when the target did not answer.
+    std::optional<Duration> took;
+    /// Whether the target failed the request or gave no answer in time.
+    bool failed = false;
+  };
+  void Finish(const HopContext& aContext, const End& aEnd, Time aNow);
 
   Time NextExpiry() const;
-  std::size_t Running() const { return this->running; }
+  std::size_t Running() const { return this->runningCalls + this->runningCallers; }
+  std::size_t CallerLimit() const { return this->chain.Limit(); }
   std::size_t WaitingCount() const { return this->waiting.size(); }
   /// Running and waiting requests per 1000 slots.
   std::uint32_t LoadPerMille() const;
@@ -89,12 +100,19 @@
 
   using Queue = std::map<Key, Entry>;
 
+  bool HasRoom(std::uint32_t aRank) const;
+  std::size_t WaitingCallers() const;
+  void CountRunning(std::uint32_t aRank);
+  /// First request that may run now; end when there is none.
+  Queue::iterator NextToRun();
   Time ExpiryOf(const Waiting& aWaiting) const;
   Duration ExpectedWait(std::uint32_t aRank) const;
   void Erase(Queue::iterator aEntry);
 
   std::uint32_t slots = 0;
-  std::size_t running = 0;
+  ChainLimit chain;
+  std::size_t runningCalls = 0;
+  std::size_t runningCallers = 0;
   std::uint64_t lastNumber = 0;
   Queue waiting;
   std::map<std::uint64_t, Key> byExchange;
--- a/packages/decisions/mesh/target_side.cc
+++ b/packages/decisions/mesh/target_side.cc
@@ -15,6 +15,7 @@
 constexpr Duration kUnreachable = std::chrono::milliseconds(300);
 constexpr std::uint32_t kFirstSuccess = 200;
 constexpr std::uint32_t kFirstRedirect = 300;
+constexpr std::uint32_t kFirstServerError = 500;
 
 } // namespace
 
@@ -106,8 +107,9 @@
   if (!aRequest.local) {
     AddLogLine(aEffects,
                LogEvent::kHopRefused,
-               "request=" + aRequest.requestId + " route=" + aRequest.context.RouteName() + " code=" +
-                 std::string(ToText(aCode)) + " running=" + std::to_string(this->gate.Running()) +
+               "request=" + aRequest.requestId + " route=" + aRequest.context.RouteName() +
+                 " code=" + std::string(ToText(aCode)) +
+                 " running=" + std::to_string(this->gate.Running()) +
                  " waiting=" + std::to_string(this->gate.WaitingCount()));
   }
   this->Finish(Entry{ .request = aRequest }, answer, aEffects);
@@ -191,8 +193,11 @@
   const bool answered = std::holds_alternative<TargetReplied>(aEnded.Outcome());
   const HopAnswered answer = this->Judge(aEnded.Outcome());
   const bool ran = answered && answer.Run() == RunState::kRan;
-  this->gate.End(entry.request.context.RouteName(),
-                 ran ? std::optional<Duration>(aNow - entry.startedAt) : std::nullopt);
+  const bool timedOut = answer.Code() == ResultCode::kAttemptTimedOut;
+  this->gate.Finish(entry.request.context,
+                    { .took = ran ? std::optional<Duration>(aNow - entry.startedAt) : std::nullopt,
+                      .failed = timedOut || (ran && answer.Status() >= kFirstServerError) },
+                    aNow);
   if (answer.Code() == ResultCode::kConnectFailed) {
     this->unreachableUntil = aNow + kUnreachable;
   }
@@ -202,7 +207,7 @@
 }
 
 bool
-TargetSide::Abandon(std::uint64_t aExchange, Effects& aEffects)
+TargetSide::Abandon(std::uint64_t aExchange, Time aNow, Effects& aEffects)
 {
   const Entries::iterator found = this->requests.find(aExchange);
   if (found == this->requests.end()) {
@@ -215,12 +220,13 @@
   }
   if (entry.running) {
     aEffects.push_back(CancelSend({ .exchange = aExchange, .attempt = entry.request.attempt }));
-    this->gate.End(entry.request.context.RouteName(), std::nullopt);
+    this->gate.Finish(entry.request.context, {}, aNow);
   } else {
     this->gate.Abandon(aExchange);
   }
   aEffects.push_back(ForgetExchange({ .exchange = aExchange }));
   this->requests.erase(found);
+  this->RunWaiting(aNow, aEffects);
   return true;
 }
 
--- a/packages/decisions/mesh/target_side.h
+++ b/packages/decisions/mesh/target_side.h
@@ -55,7 +55,7 @@
   bool Receive(const SendEnded& aEnded, Time aNow, Effects& aEffects);
   /// The other side left. Waiting requests and repeatable ones end; a request that must not be cut
   /// goes on to its end. False when the exchange is not known here.
-  bool Abandon(std::uint64_t aExchange, Effects& aEffects);
+  bool Abandon(std::uint64_t aExchange, Time aNow, Effects& aEffects);
 
   /// True when the service or state of the target changed.
   bool Receive(const TargetBeat& aBeat, Time aNow, Effects& aEffects);
--- a/packages/node/mesh_io.cc
+++ b/packages/node/mesh_io.cc
@@ -240,7 +240,8 @@
                                      .host = head.host,
                                      .path = head.path,
                                      .keyHash = head.keyHash,
-                                     .timeout = head.timeout });
+                                     .timeout = head.timeout,
+                                     .bodyBytes = aRequest.body().size() });
   if (this->exchanges.size() >= kMaxExchanges || !this->events.TryArrival(arrived)) {
     this->Answer(
       aConnection,
--- a/packages/node/net.h
+++ b/packages/node/net.h
@@ -28,7 +28,7 @@
 
 /// Time after which unacknowledged bytes break a connection. Retransmissions on a lossy link take
 /// a few hundred milliseconds; a silent connection must be noticed within a caller's patience.
-constexpr std::chrono::milliseconds kAcknowledgeLimit{ 1500 };
+constexpr std::chrono::milliseconds kAcknowledgeLimit{ 800 };
 /// Idle time before a connection is probed, time between probes, and probes until it is broken.
 constexpr std::chrono::seconds kProbeAfter{ 1 };
 constexpr std::chrono::seconds kProbeInterval{ 1 };
