--- a/packages/decisions/mesh/target_gate.cc
+++ b/packages/decisions/mesh/target_gate.cc
@@ -14,6 +14,9 @@
 constexpr Duration kFirstGuess = std::chrono::milliseconds(100);
 /// Weight of the newest sample in a mean of about ten.
 constexpr double kSampleWeight = 0.1;
+/// Time that a request must have left to be started, in mean times of its route: one that starts
+/// with less mostly fails at its deadline after all of its work.
+constexpr double kTimeMargin = 1.5;
 constexpr std::uint32_t kPerMille = 1000;
 /// Part of the slots that is the callers' while one of them waits.
 constexpr double kCallersPart = 0.25;
@@ -97,11 +100,18 @@
   return mean * (ahead + 1) / static_cast<std::int64_t>(std::max<std::size_t>(room, 1));
 }
 
+Duration
+TargetGate::TimeNeeded(const HopContext& aContext) const
+{
+  const double expected = static_cast<double>(this->ExpectedTime(aContext.RouteName()).count());
+  const double margin = IsCall(aContext.Rank()) ? kCallMargin : kCallerMargin;
+  return Duration(static_cast<Duration::rep>(expected * margin));
+}
+
 Time
 TargetGate::ExpiryOf(const Waiting& aWaiting) const
 {
-  // Half of the mean: times spread widely, and many requests are faster than the mean.
-  return aWaiting.deadline - this->ExpectedTime(aWaiting.context.RouteName()) / 2;
+  return aWaiting.deadline - this->TimeNeeded(aWaiting.context);
 }
 
 TargetGate::Verdict
@@ -116,8 +126,8 @@
   if (this->waiting.size() >= kMaxWaiting) {
     return Verdict::kFull;
   }
-  const Duration expected = this->ExpectedTime(aWaiting.context.RouteName());
-  if (aNow + this->ExpectedWait(rank) + expected > aWaiting.deadline) {
+  const Duration needed = this->TimeNeeded(aWaiting.context);
+  if (aNow + this->ExpectedWait(rank) + needed > aWaiting.deadline) {
     return Verdict::kTooLate;
   }
   const Key key{ rank, ++this->lastNumber };
--- a/packages/decisions/mesh/target_gate.h
+++ b/packages/decisions/mesh/target_gate.h
@@ -79,6 +79,8 @@
   std::size_t WaitingCount() const { return this->waiting.size(); }
   /// Running and waiting requests per 1000 slots.
   std::uint32_t LoadPerMille() const;
+  /// Time that a waiting request must have left to be started.
+  Duration TimeNeeded(const HopContext& aContext) const;
   /// Mean time of a route's requests at the target.
   Duration ExpectedTime(const std::string& aRoute) const;
 
--- a/packages/decisions/mesh/target_side.cc
+++ b/packages/decisions/mesh/target_side.cc
@@ -194,10 +194,14 @@
   const HopAnswered answer = this->Judge(aEnded.Outcome());
   const bool ran = answered && answer.Run() == RunState::kRan;
   const bool timedOut = answer.Code() == ResultCode::kAttemptTimedOut;
-  this->gate.Finish(entry.request.context,
-                    { .took = ran ? std::optional<Duration>(aNow - entry.startedAt) : std::nullopt,
-                      .failed = timedOut || (ran && answer.Status() >= kFirstServerError) },
-                    aNow);
+  // A request that came with too little time left says nothing about the chain.
+  const bool hadTime =
+    entry.request.deadline - entry.startedAt >= this->gate.TimeNeeded(entry.request.context);
+  this->gate.Finish(
+    entry.request.context,
+    { .took = ran ? std::optional<Duration>(aNow - entry.startedAt) : std::nullopt,
+      .failed = hadTime && (timedOut || (ran && answer.Status() >= kFirstServerError)) },
+    aNow);
   if (answer.Code() == ResultCode::kConnectFailed) {
     this->unreachableUntil = aNow + kUnreachable;
   }
