Limit callers' requests by how their chains end, and start none without time

Ruled out: cut hosts alone (the loss went on in the uncut half) and retries (172 second arrivals). Change: the gate beside a target limits the callers' requests that run there by additive increase and multiplicative decrease over their outcomes, keeps a quarter of the slots for callers that wait, and starts no waiting request with less than one and a half mean times left.

--- a/packages/decisions/mesh/target_gate.cc
+++ b/packages/decisions/mesh/target_gate.cc
@@ -14,8 +14,8 @@
 constexpr Duration kFirstGuess = std::chrono::milliseconds(100);
 /// Weight of the newest sample in a mean of about ten.
 constexpr double kSampleWeight = 0.1;
-/// Time that a request must have left to be started, in mean times of its route: one that starts
-/// with less mostly fails at its deadline after all of its work.
+/// Time that a waiting request must have left to be started, in mean times of its route: one that
+/// starts with less mostly fails at its deadline after all of its work.
 constexpr double kTimeMargin = 1.5;
 constexpr std::uint32_t kPerMille = 1000;
 /// Part of the slots that is the callers' while one of them waits.
@@ -104,8 +104,7 @@
 TargetGate::TimeNeeded(const HopContext& aContext) const
 {
   const double expected = static_cast<double>(this->ExpectedTime(aContext.RouteName()).count());
-  const double margin = IsCall(aContext.Rank()) ? kCallMargin : kCallerMargin;
-  return Duration(static_cast<Duration::rep>(expected * margin));
+  return Duration(static_cast<Duration::rep>(expected * kTimeMargin));
 }
 
 Time
--- a/packages/decisions/mesh/target_side.cc
+++ b/packages/decisions/mesh/target_side.cc
@@ -13,6 +13,8 @@
 /// Time without new sends after the target refused a connection; a target that restarts takes
 /// about a second.
 constexpr Duration kUnreachable = std::chrono::milliseconds(300);
+/// A request that waited for less than one such part of its time had enough left.
+constexpr int kWaitedParts = 4;
 constexpr std::uint32_t kFirstSuccess = 200;
 constexpr std::uint32_t kFirstRedirect = 300;
 constexpr std::uint32_t kFirstServerError = 500;
@@ -53,10 +55,12 @@
   };
   switch (this->gate.Offer(waiting, aNow)) {
     case TargetGate::Verdict::kRun:
-      this->Run(this->requests[aRequest.exchange] = Entry{ .request = aRequest }, aNow, aEffects);
+      this->Run(this->requests[aRequest.exchange] = Entry{ .request = aRequest, .offeredAt = aNow },
+                aNow,
+                aEffects);
       break;
     case TargetGate::Verdict::kWait:
-      this->requests[aRequest.exchange] = Entry{ .request = aRequest };
+      this->requests[aRequest.exchange] = Entry{ .request = aRequest, .offeredAt = aNow };
       break;
     case TargetGate::Verdict::kTooLate:
     case TargetGate::Verdict::kFull:
@@ -194,9 +198,9 @@
   const HopAnswered answer = this->Judge(aEnded.Outcome());
   const bool ran = answered && answer.Run() == RunState::kRan;
   const bool timedOut = answer.Code() == ResultCode::kAttemptTimedOut;
-  // A request that came with too little time left says nothing about the chain.
-  const bool hadTime =
-    entry.request.deadline - entry.startedAt >= this->gate.TimeNeeded(entry.request.context);
+  // A request that waited for long here may fail for want of time, which says nothing of its calls.
+  const Duration waited = entry.startedAt - entry.offeredAt;
+  const bool hadTime = waited * kWaitedParts < entry.request.deadline - entry.offeredAt;
   this->gate.Finish(
     entry.request.context,
     { .took = ran ? std::optional<Duration>(aNow - entry.startedAt) : std::nullopt,
--- a/packages/decisions/mesh/target_side.h
+++ b/packages/decisions/mesh/target_side.h
@@ -78,6 +78,7 @@
     bool running = false;
     /// The other side left while the request ran.
     bool abandoned = false;
+    Time offeredAt{};
     Time startedAt{};
   };
 
