--- a/packages/decisions/mesh/chain_limit.cc
+++ b/packages/decisions/mesh/chain_limit.cc
@@ -38,7 +38,8 @@
 ChainLimit::NoteSuccess(std::size_t aRunning)
 {
   this->failures -= this->failures * kSampleWeight;
-  if (static_cast<double>(aRunning) >= this->limit * kUsed) {
+  // Compared with the whole number that is let in; against the fraction a small limit never grows.
+  if (static_cast<double>(aRunning) >= static_cast<double>(this->Limit()) * kUsed) {
     this->limit = std::min(this->slots, this->limit + std::max(kGrowth, 1.0 / this->limit));
   }
 }
--- a/packages/decisions/mesh/target_side.cc
+++ b/packages/decisions/mesh/target_side.cc
@@ -296,6 +296,9 @@
     this->Refuse(entry->second.request, ResultCode::kQueueExpired, aEffects);
     this->requests.erase(entry);
   }
+  if (aNow >= this->unreachableUntil) {
+    this->unreachableUntil = Time{};
+  }
   this->RunWaiting(aNow, aEffects);
   if (!this->registration.Expire(aNow)) {
     return false;
--- a/packages/decisions/tests/membership_fleet.h
+++ b/packages/decisions/tests/membership_fleet.h
@@ -284,10 +284,11 @@
     void operator()(const ProbeAck& aMessage) const { this->Take(aMessage); }
     void operator()(const ProbeRequest& aMessage) const { this->Take(aMessage); }
     void operator()(const MemberSync& aMessage) const { this->Take(aMessage); }
-    void operator()(const StewardReport& /*aMessage*/) const {}
-    void operator()(const StewardGrant& /*aMessage*/) const {}
-    void operator()(const ConfigWant& /*aMessage*/) const {}
-    void operator()(const ConfigRelay& /*aMessage*/) const {}
+    /// Messages of other modules.
+    template<typename Other>
+    void operator()(const Other& /*aMessage*/) const
+    {
+    }
 
     template<typename T>
     void Take(const T& aMessage) const
--- /dev/null
+++ b/packages/decisions/tests/mesh_core_test.cc
@@ -0,0 +1,513 @@
+// Guards what a caller may rely on, in whole sessions of several nodes: an answer says "not run"
+// only with proof, what must not run twice runs once, a leaving target gets no new work, a
+// configuration never goes back, and load is turned away before its work is done.
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "decisions/tests/fake_mesh.h"
+#include "decisions/tests/test_seed.h"
+#include "util/random.h"
+
+namespace jackdawwind {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct RouteSpec
+{
+  const char* prefix;
+  const char* service;
+  RouteKind kind = RouteKind::kIdempotent;
+  std::uint32_t priority = 2;
+  Duration timeout = seconds(2);
+};
+
+MeshRoute
+MakeRoute(const char* aHost, const RouteSpec& aSpec, bool aOpen)
+{
+  return MeshRoute({ .name = std::string(aSpec.prefix),
+                     .host = aHost,
+                     .prefix = aSpec.prefix,
+                     .kind = aSpec.kind,
+                     .maxAttempts = 2,
+                     .timeout = aSpec.timeout,
+                     .objective = seconds(1),
+                     .priority = aSpec.priority,
+                     .open = aOpen,
+                     .parts = { SplitPart({ .service = aSpec.service, .weight = 1 }) } });
+}
+
+MeshConfiguration
+MakeConfiguration(std::uint64_t aVersion, const std::vector<std::string>& aKeys = { "north-key" })
+{
+  return MeshConfiguration(
+    { .version = aVersion,
+      .services = { "fleet", "hires", "fuel" },
+      .routes = { MakeRoute("api", { .prefix = "/fleet/", .service = "fleet" }, false),
+                  MakeRoute("api",
+                            { .prefix = "/book/",
+                              .service = "hires",
+                              .kind = RouteKind::kNonIdempotent,
+                              .priority = 0 },
+                            false),
+                  MakeRoute(
+                    "inner",
+                    { .prefix = "/tariff/", .service = "fuel", .timeout = milliseconds(300) },
+                    true) },
+      .organisations = {
+        MeshOrganisation({ .name = "north", .keyHashes = aKeys, .rate = 1000, .burst = 1000 }) } });
+}
+
+/// Two hosts of each of fleet and hires and one of fuel, configured and acquainted.
+void
+StartFleet(FakeMesh& aMesh)
+{
+  aMesh.AddHost({ "a1", "ikeja", "lagos", "fleet" });
+  aMesh.AddHost({ "a2", "ikeja", "lagos", "hires" });
+  aMesh.AddHost({ "b1", "sharada", "kano", "fleet" });
+  aMesh.AddHost({ "b2", "sharada", "kano", "hires" });
+  aMesh.AddHost({ "b3", "sharada", "kano", "fuel" });
+  aMesh.Advance(seconds(1));
+  aMesh.Configure(MakeConfiguration(1));
+  aMesh.Advance(seconds(4));
+}
+
+TEST(MeshCore, ServesRequestsForTheirOrganisation)
+{
+  FakeMesh mesh(1);
+  StartFleet(mesh);
+  const std::uint64_t request = mesh.Request("a2", "api", "/fleet/1", "north-key");
+  mesh.Advance(seconds(1));
+  ASSERT_NE(mesh.AnswerTo(request), nullptr);
+  EXPECT_EQ(mesh.AnswerTo(request)->status, 200U);
+  ASSERT_EQ(mesh.Runs().size(), 1U);
+  EXPECT_EQ(mesh.Runs()[0].node, "a1");
+  EXPECT_EQ(mesh.Runs()[0].organisation, "north");
+  EXPECT_EQ(mesh.Runs()[0].callerService, "hires");
+}
+
+TEST(MeshCore, RefusesWhatNoConfigurationAllows)
+{
+  struct Case
+  {
+    const char* name;
+    const char* host;
+    const char* path;
+    std::optional<std::string> key;
+    ResultCode code;
+  };
+  const Case cases[] = {
+    { "unknown host", "other", "/fleet/1", "north-key", ResultCode::kUnknownRoute },
+    { "unknown path", "api", "/nowhere/1", "north-key", ResultCode::kUnknownRoute },
+    { "no key", "api", "/fleet/1", std::nullopt, ResultCode::kMissingKey },
+    { "unknown key", "api", "/fleet/1", "south-key", ResultCode::kUnknownKey },
+    { "open route without key", "inner", "/tariff/1", std::nullopt, ResultCode::kOk },
+  };
+  FakeMesh mesh(1);
+  StartFleet(mesh);
+  for (const Case& testCase : cases) {
+    SCOPED_TRACE(testCase.name);
+    const std::uint64_t request = mesh.Request("a1", testCase.host, testCase.path, testCase.key);
+    mesh.Advance(seconds(1));
+    ASSERT_NE(mesh.AnswerTo(request), nullptr);
+    EXPECT_EQ(mesh.AnswerTo(request)->code, testCase.code);
+    EXPECT_EQ(mesh.RunsOf(request), testCase.code == ResultCode::kOk ? 1U : 0U);
+  }
+}
+
+TEST(MeshCore, WithoutConfigurationNothingIsDenied)
+{
+  FakeMesh mesh(1);
+  mesh.AddHost({ "a1", "ikeja", "lagos", "fleet" });
+  const std::uint64_t request = mesh.Request("a1", "api", "/fleet/1", "north-key");
+  ASSERT_NE(mesh.AnswerTo(request), nullptr);
+  EXPECT_EQ(mesh.AnswerTo(request)->code, ResultCode::kNotConfigured);
+  EXPECT_EQ(mesh.PhaseOf("a1"), Phase::kBooting);
+}
+
+TEST(MeshCore, WhatMustNotRunTwiceIsSentOnceAfterAPossibleRun)
+{
+  struct Case
+  {
+    const char* name;
+    FakeMesh::Mood mood;
+    RunState run;
+    std::size_t runs;
+  };
+  const Case cases[] = {
+    { "silent target", FakeMesh::Mood::kSilent, RunState::kUnknown, 1 },
+    { "broken answer", FakeMesh::Mood::kBreak, RunState::kUnknown, 1 },
+    { "target states not run", FakeMesh::Mood::kRefuse, RunState::kNotRun, 0 },
+    { "no connection", FakeMesh::Mood::kDown, RunState::kNotRun, 0 },
+  };
+  for (const Case& testCase : cases) {
+    SCOPED_TRACE(testCase.name);
+    FakeMesh mesh(1);
+    StartFleet(mesh);
+    mesh.SetMood("a2", testCase.mood);
+    mesh.SetMood("b2", testCase.mood);
+    const std::uint64_t request = mesh.Request("a1", "api", "/book/1", "north-key");
+    mesh.Advance(seconds(4));
+    ASSERT_NE(mesh.AnswerTo(request), nullptr);
+    EXPECT_EQ(mesh.AnswerTo(request)->run, testCase.run);
+    EXPECT_EQ(mesh.RunsOf(request), testCase.runs);
+    EXPECT_LE(mesh.AnswerTo(request)->took, milliseconds(2500));
+  }
+}
+
+TEST(MeshCore, LookUpsAreSentAgainAfterALostAnswer)
+{
+  FakeMesh mesh(1);
+  StartFleet(mesh);
+  mesh.SetMood("a1", FakeMesh::Mood::kBreak);
+  const std::uint64_t request = mesh.Request("a2", "api", "/fleet/1", "north-key");
+  mesh.Advance(seconds(2));
+  ASSERT_NE(mesh.AnswerTo(request), nullptr);
+  EXPECT_EQ(mesh.AnswerTo(request)->status, 200U);
+  EXPECT_EQ(mesh.RunsOf(request), 2U);
+}
+
+TEST(MeshCore, RepeatsAreBoundedWhenEveryAnswerIsLost)
+{
+  // Guards against retries that multiply: with all answers lost each look-up could run twice.
+  FakeMesh mesh(1);
+  StartFleet(mesh);
+  mesh.SetMood("a1", FakeMesh::Mood::kBreak);
+  mesh.SetMood("b1", FakeMesh::Mood::kBreak);
+  constexpr std::size_t kRequests = 200;
+  for (std::size_t index = 0; index < kRequests; ++index) {
+    mesh.Request("a2", "api", "/fleet/1", "north-key");
+    mesh.Advance(milliseconds(50));
+  }
+  mesh.Advance(seconds(3));
+  // A third of the fleet's ratio for each level of a chain, and this node's part of the extra.
+  EXPECT_LE(mesh.Runs().size(), kRequests + kRequests * 0.2 / 3 + 48.0 / 3 / 5 + 1);
+}
+
+TEST(MeshCore, ALeavingTargetGetsNoNewWork)
+{
+  FakeMesh mesh(1);
+  StartFleet(mesh);
+  mesh.SetState("a1", TargetState::kDraining);
+  for (int index = 0; index < 20; ++index) {
+    const std::uint64_t request = mesh.Request("a2", "api", "/fleet/1", "north-key");
+    mesh.Advance(milliseconds(100));
+    ASSERT_NE(mesh.AnswerTo(request), nullptr);
+    EXPECT_EQ(mesh.AnswerTo(request)->status, 200U);
+  }
+  for (const FakeMesh::Run& run : mesh.Runs()) {
+    EXPECT_EQ(run.node, "b1");
+  }
+}
+
+TEST(MeshCore, ATargetThatSignedOffIsNotRevivedByALateReport)
+{
+  FakeMesh mesh(1);
+  StartFleet(mesh);
+  mesh.SignOff("a1");
+  mesh.Give("a1",
+            TargetBeat({ .instance = "i-a1",
+                         .host = "a1",
+                         .port = 80,
+                         .service = "fleet",
+                         .state = TargetState::kReady,
+                         .slots = 8,
+                         .sequence = 1000,
+                         .born = 1 }));
+  const std::uint64_t request = mesh.Request("a1", "api", "/fleet/1", "north-key");
+  mesh.Advance(seconds(1));
+  ASSERT_NE(mesh.AnswerTo(request), nullptr);
+  ASSERT_EQ(mesh.Runs().size(), 1U);
+  EXPECT_EQ(mesh.Runs()[0].node, "b1");
+}
+
+TEST(MeshCore, AConfigurationSpreadsWithoutTheStoreAndNeverGoesBack)
+{
+  FakeMesh mesh(1);
+  StartFleet(mesh);
+  // The store serves one node only.
+  mesh.ConfigureOnly({ "a1" }, MakeConfiguration(7, { "new-key" }));
+  mesh.Advance(seconds(2));
+  for (const char* node : { "a1", "a2", "b1", "b2", "b3" }) {
+    SCOPED_TRACE(node);
+    const std::uint64_t revoked = mesh.Request(node, "api", "/fleet/1", "north-key");
+    mesh.ConfigureOnly({ node }, MakeConfiguration(6));
+    const std::uint64_t older = mesh.Request(node, "api", "/fleet/1", "north-key");
+    const std::uint64_t current = mesh.Request(node, "api", "/fleet/1", "new-key");
+    mesh.Advance(seconds(1));
+    EXPECT_EQ(mesh.AnswerTo(revoked)->code, ResultCode::kUnknownKey);
+    EXPECT_EQ(mesh.AnswerTo(older)->code, ResultCode::kUnknownKey);
+    EXPECT_EQ(mesh.AnswerTo(current)->code, ResultCode::kOk);
+  }
+}
+
+TEST(MeshCore, AnAbandonedLookUpStopsAndABookingRunsToItsEnd)
+{
+  FakeMesh mesh(1);
+  StartFleet(mesh);
+  mesh.SetWork("/fleet/", { .time = seconds(1) });
+  mesh.SetWork("/book/", { .time = seconds(1) });
+  const std::uint64_t lookUp = mesh.Request("a2", "api", "/fleet/1", "north-key");
+  const std::uint64_t booking = mesh.Request("a1", "api", "/book/1", "north-key");
+  mesh.Advance(milliseconds(200));
+  EXPECT_EQ(mesh.RunningAt("a1"), 1U);
+  EXPECT_EQ(mesh.RunningAt("a2"), 1U);
+  mesh.Leave(lookUp);
+  mesh.Leave(booking);
+  mesh.Advance(milliseconds(200));
+  EXPECT_EQ(mesh.RunningAt("a1"), 0U);
+  EXPECT_EQ(mesh.RunningAt("a2"), 1U);
+  mesh.Advance(seconds(2));
+  EXPECT_EQ(mesh.AnswerTo(lookUp), nullptr);
+  EXPECT_EQ(mesh.AnswerTo(booking), nullptr);
+}
+
+TEST(MeshCore, AWaitingRequestWhoseCallerLeftNeverRuns)
+{
+  FakeMesh mesh(1);
+  StartFleet(mesh);
+  mesh.SetState("b2", TargetState::kDraining);
+  mesh.SetWork("/book/", { .time = milliseconds(400) });
+  std::vector<std::uint64_t> requests;
+  for (int index = 0; index < 10; ++index) {
+    requests.push_back(mesh.Request("a1", "api", "/book/1", "north-key"));
+  }
+  mesh.Advance(milliseconds(50));
+  mesh.Leave(requests.back());
+  mesh.Advance(seconds(4));
+  EXPECT_EQ(mesh.RunsOf(requests.back()), 0U);
+  EXPECT_EQ(mesh.AnswerTo(requests.front())->status, 200U);
+}
+
+TEST(MeshCore, AStoppingNodeFinishesWhatItHasAndThenEnds)
+{
+  FakeMesh mesh(1);
+  StartFleet(mesh);
+  mesh.SetWork("/fleet/", { .time = milliseconds(1500) });
+  const std::uint64_t running = mesh.Request("a1", "api", "/fleet/1", "north-key");
+  mesh.Advance(milliseconds(100));
+  mesh.Drain("a1");
+  EXPECT_EQ(mesh.PhaseOf("a1"), Phase::kDraining);
+  const std::uint64_t late = mesh.Request("a1", "api", "/fleet/1", "north-key");
+  mesh.Advance(milliseconds(2300));
+  EXPECT_EQ(mesh.AnswerTo(running)->status, 200U);
+  EXPECT_EQ(mesh.AnswerTo(late)->status, 200U);
+  mesh.Advance(seconds(3));
+  EXPECT_TRUE(mesh.Drained("a1"));
+}
+
+TEST(MeshCore, ARestartedNodeServesAgainWithinSeconds)
+{
+  FakeMesh mesh(1);
+  StartFleet(mesh);
+  for (const char* node : { "a1", "a2", "b1", "b2", "b3" }) {
+    mesh.Restart(node);
+  }
+  mesh.Advance(milliseconds(500));
+  mesh.Configure(MakeConfiguration(1));
+  mesh.Advance(seconds(2));
+  const std::uint64_t request = mesh.Request("b3", "api", "/fleet/1", "north-key");
+  mesh.Advance(seconds(1));
+  ASSERT_NE(mesh.AnswerTo(request), nullptr);
+  EXPECT_EQ(mesh.AnswerTo(request)->status, 200U);
+}
+
+TEST(MeshCore, TargetsAreGivenNoMoreTimeThanIsLeft)
+{
+  FakeMesh mesh(1);
+  StartFleet(mesh);
+  mesh.SetMood("a1", FakeMesh::Mood::kBreak);
+  mesh.SetWork("/fleet/", { .time = milliseconds(600) });
+  mesh.Request("a2", "api", "/fleet/1", "north-key", milliseconds(1500));
+  mesh.Advance(seconds(3));
+  ASSERT_EQ(mesh.Runs().size(), 2U);
+  EXPECT_LE(mesh.Runs()[0].given, milliseconds(1500));
+  EXPECT_LE(mesh.Runs()[1].given, milliseconds(900));
+}
+
+/// Requests of a load test and how they ended.
+struct Outcomes
+{
+  std::size_t served = 0;
+  std::size_t refused = 0;
+  std::size_t failed = 0;
+};
+
+Outcomes
+Count(const FakeMesh& aMesh, const std::vector<std::uint64_t>& aRequests)
+{
+  Outcomes outcomes;
+  for (const std::uint64_t request : aRequests) {
+    const FakeMesh::Answer* answer = aMesh.AnswerTo(request);
+    if (answer != nullptr && answer->status == 200) {
+      ++outcomes.served;
+    } else if (answer != nullptr && answer->run == RunState::kNotRun) {
+      ++outcomes.refused;
+    } else {
+      ++outcomes.failed;
+    }
+  }
+  return outcomes;
+}
+
+/// Offers look-ups, each with three calls to the one target of fuel, and bookings, which call
+/// nothing, for a while.
+void
+OfferChains(FakeMesh& aMesh,
+            Duration aTime,
+            Duration aGap,
+            std::vector<std::uint64_t>& aLookUps,
+            std::vector<std::uint64_t>& aBookings)
+{
+  const Time end = aMesh.Now() + aTime;
+  std::size_t number = 0;
+  while (aMesh.Now() < end) {
+    ++number;
+    aLookUps.push_back(aMesh.Request(
+      number % 2 == 0 ? "a1" : "b1", "api", "/fleet/1", "north-key", milliseconds(1500)));
+    if (number % 4 == 0) {
+      aBookings.push_back(aMesh.Request("a2", "api", "/book/1", "north-key", milliseconds(1500)));
+    }
+    aMesh.Advance(aGap);
+  }
+}
+
+TEST(MeshLoad, ADeepServiceThatIsFullTurnsRequestsAwayBeforeTheirWork)
+{
+  // Fuel has 8 slots of 40 ms: 200 calls a second, 66 look-ups. Twice as many are offered. Without
+  // a limit at the first target most of them fail after their first calls were served.
+  FakeMesh mesh(3);
+  StartFleet(mesh);
+  mesh.SetWork("/fleet/",
+               { .time = milliseconds(50), .calls = { "/tariff/1", "/tariff/2", "/tariff/3" } });
+  mesh.SetWork("/tariff/", { .time = milliseconds(40) });
+  std::vector<std::uint64_t> lookUps;
+  std::vector<std::uint64_t> bookings;
+  OfferChains(mesh, seconds(4), milliseconds(7), lookUps, bookings);
+  lookUps.clear();
+  bookings.clear();
+  OfferChains(mesh, seconds(8), milliseconds(7), lookUps, bookings);
+  mesh.Advance(seconds(3));
+  const Outcomes outcomes = Count(mesh, lookUps);
+  // Two thirds of what fuel can carry are whole look-ups.
+  EXPECT_GE(outcomes.served, 8 * 66 * 2 / 3);
+  EXPECT_LE(outcomes.failed, lookUps.size() / 4);
+  // Bookings share no service with the look-ups.
+  EXPECT_EQ(Count(mesh, bookings).served, bookings.size());
+}
+
+TEST(MeshLoad, AfterTheSurgeEverythingIsServedAgain)
+{
+  // Guards against a collapse that outlives its cause: the limit of callers' requests stays shut.
+  FakeMesh mesh(3);
+  StartFleet(mesh);
+  mesh.SetWork("/fleet/",
+               { .time = milliseconds(50), .calls = { "/tariff/1", "/tariff/2", "/tariff/3" } });
+  mesh.SetWork("/tariff/", { .time = milliseconds(40) });
+  std::vector<std::uint64_t> lookUps;
+  std::vector<std::uint64_t> bookings;
+  mesh.SetMood("b3", FakeMesh::Mood::kRefuse);
+  OfferChains(mesh, seconds(5), milliseconds(20), lookUps, bookings);
+  mesh.SetMood("b3", FakeMesh::Mood::kServe);
+  OfferChains(mesh, seconds(5), milliseconds(20), lookUps, bookings);
+  lookUps.clear();
+  OfferChains(mesh, seconds(5), milliseconds(20), lookUps, bookings);
+  mesh.Advance(seconds(3));
+  EXPECT_GE(Count(mesh, lookUps).served, lookUps.size() * 95 / 100);
+}
+
+TEST(MeshLoad, MoreDemandThanSlotsIsServedInOrderOfUrgency)
+{
+  // Both kinds go to one service; twice its capacity is offered, a quarter of it urgent.
+  FakeMesh mesh(5);
+  mesh.AddHost({ "a1", "ikeja", "lagos", "fleet" });
+  mesh.AddHost({ "a2", "ikeja", "lagos", "hires" });
+  mesh.Advance(seconds(1));
+  MeshConfiguration::Fields fields = MakeConfiguration(1).ToFields();
+  fields.routes = {
+    MakeRoute("api", { .prefix = "/slow/", .service = "fleet" }, false),
+    MakeRoute(
+      "api",
+      { .prefix = "/book/", .service = "fleet", .kind = RouteKind::kNonIdempotent, .priority = 0 },
+      false)
+  };
+  mesh.Configure(MeshConfiguration(std::move(fields)));
+  mesh.Advance(seconds(3));
+  mesh.SetWork("/", { .time = milliseconds(200) });
+  std::vector<std::uint64_t> urgent;
+  std::vector<std::uint64_t> others;
+  for (int index = 0; index < 600; ++index) {
+    (index % 4 == 0 ? urgent : others)
+      .push_back(mesh.Request(
+        "a2", "api", index % 4 == 0 ? "/book/1" : "/slow/1", "north-key", milliseconds(1500)));
+    mesh.Advance(milliseconds(12));
+  }
+  mesh.Advance(seconds(3));
+  EXPECT_GE(Count(mesh, urgent).served, urgent.size() * 95 / 100);
+  EXPECT_GE(Count(mesh, others).served, others.size() / 5);
+  EXPECT_LE(mesh.RunningAt("a1"), 8U);
+  EXPECT_EQ(Count(mesh, others).failed, 0U);
+}
+
+TEST(MeshLoad, ACutOffHostIsAvoidedWithinSeconds)
+{
+  FakeMesh mesh(7);
+  StartFleet(mesh);
+  mesh.Cut("a1", true);
+  mesh.Advance(seconds(3));
+  std::vector<std::uint64_t> requests;
+  for (int index = 0; index < 100; ++index) {
+    requests.push_back(mesh.Request("a2", "api", "/fleet/1", "north-key"));
+    mesh.Advance(milliseconds(30));
+  }
+  mesh.Advance(seconds(3));
+  EXPECT_GE(Count(mesh, requests).served, 99U);
+}
+
+TEST(MeshRandom, NothingUnsafeRunsTwiceAndNoRefusalLies)
+{
+  // Random moods, cuts, restarts and departures; every booking is checked against what targets ran.
+  for (const std::uint64_t seed : TestSeeds(20)) {
+    SCOPED_TRACE(seed);
+    FakeMesh mesh(seed);
+    StartFleet(mesh);
+    mesh.SetWork("/book/", { .time = milliseconds(150) });
+    Random random(seed);
+    std::vector<std::uint64_t> requests;
+    const char* const nodes[] = { "a1", "a2", "b1", "b2", "b3" };
+    for (int index = 0; index < 300; ++index) {
+      const char* node = nodes[random.Below(5)];
+      requests.push_back(mesh.Request(node, "api", "/book/1", "north-key", seconds(2)));
+      if (random.Below(10) == 0) {
+        mesh.Leave(requests[random.Below(requests.size())]);
+      }
+      if (random.Below(20) == 0) {
+        mesh.SetMood(random.Below(2) == 0 ? "a2" : "b2",
+                     static_cast<FakeMesh::Mood>(random.Below(5)));
+      }
+      if (random.Below(40) == 0) {
+        mesh.Cut(nodes[random.Below(5)], random.Below(2) == 0);
+      }
+      if (random.Below(60) == 0) {
+        mesh.Restart(nodes[random.Below(5)]);
+        mesh.Configure(MakeConfiguration(1));
+      }
+      mesh.Advance(milliseconds(20));
+    }
+    mesh.Advance(seconds(5));
+    for (const std::uint64_t request : requests) {
+      EXPECT_LE(mesh.RunsOf(request), 1U) << "request " << request;
+      const FakeMesh::Answer* answer = mesh.AnswerTo(request);
+      if (answer != nullptr && answer->run == RunState::kNotRun) {
+        EXPECT_EQ(mesh.RunsOf(request), 0U) << "request " << request;
+      }
+    }
+  }
+}
+
+} // namespace
+} // namespace jackdawwind
--- a/packages/decisions/tests/session.h
+++ b/packages/decisions/tests/session.h
@@ -150,6 +150,11 @@
   bool Reaches(const std::string& aFrom, const std::string& aTo) const;
   Duration Delay(const std::string& aFrom, const std::string& aTo);
 
+  /// Effects of the core that routes by host and path.
+  template<typename Other>
+  void On(Node& /*aNode*/, const Other& /*aEffect*/)
+  {
+  }
   void On(Node& aNode, const Forward& aEffect);
   void On(Node& aNode, const Refuse& aEffect);
   void On(Node& aNode, const Relay& aEffect);
--- a/packages/node/mesh_io.cc
+++ b/packages/node/mesh_io.cc
@@ -112,6 +112,15 @@
   return std::nullopt;
 }
 
+MeshIo::Ports
+MeshIo::ListenPorts() const
+{
+  return { this->listeners[0]->Port(),
+           this->listeners[1]->Port(),
+           this->listeners[2]->Port(),
+           this->listeners[3]->Port() };
+}
+
 void
 MeshIo::Start()
 {
--- a/packages/node/mesh_io.h
+++ b/packages/node/mesh_io.h
@@ -51,6 +51,14 @@
 public:
   using Opened = std::variant<std::unique_ptr<MeshIo>, ListenError>;
 
+  struct Ports
+  {
+    std::uint16_t callers;
+    std::uint16_t peerCalls;
+    std::uint16_t readiness;
+    std::uint16_t reports;
+  };
+
   /// Opens the listeners. aSettings, aFront and aEvents must outlive the result.
   static Opened Open(const MeshSettings& aSettings,
                      const MeshFront& aFront,
@@ -65,6 +73,7 @@
   MeshIo(const MeshIo&) = delete;
   MeshIo& operator=(const MeshIo&) = delete;
 
+  Ports ListenPorts() const;
   void Start();
   /// Waits while the ring is full.
   void Submit(MeshEffect aEffect);
