--- a/packages/decisions/tests/fake_mesh.h
+++ b/packages/decisions/tests/fake_mesh.h
@@ -21,6 +21,7 @@
 #include <queue>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "decisions/mesh/mesh_core.h"
@@ -132,7 +133,10 @@
   Node& Of(const std::string& aNode) { return *this->nodes.at(aNode); }
   void Start(Node& aNode);
   void At(Time aTime, std::function<void()> aStep);
-  void After(Duration aTime, std::function<void()> aStep) { this->At(this->now + aTime, aStep); }
+  void After(Duration aTime, std::function<void()> aStep)
+  {
+    this->At(this->now + aTime, std::move(aStep));
+  }
   void Beat(const std::string& aNode);
   void Apply(Node& aNode, const std::vector<Effect>& aEffects);
   void Apply(Node& aNode, const Effect& aEffect);
--- a/packages/decisions/tests/mesh_core_test.cc
+++ b/packages/decisions/tests/mesh_core_test.cc
@@ -273,6 +273,7 @@
   mesh.SetState("b2", TargetState::kDraining);
   mesh.SetWork("/book/", { .time = milliseconds(400) });
   std::vector<std::uint64_t> requests;
+  requests.reserve(10);
   for (int index = 0; index < 10; ++index) {
     requests.push_back(mesh.Request("a1", "api", "/book/1", "north-key"));
   }
--- a/packages/platform/http_exchange.cc
+++ b/packages/logservice/http_exchange.cc
@@ -1,4 +1,4 @@
-#include "platform/http_exchange.h"
+#include "logservice/http_exchange.h"
 
 #include <optional>
 #include <utility>
@@ -8,9 +8,9 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
-#include "platform/post.h"
+#include "logservice/post.h"
 
-namespace jackdawwind::platform {
+namespace jackdawwind::logservice {
 
 namespace {
 
@@ -171,4 +171,4 @@
   return exchange;
 }
 
-} // namespace jackdawwind::platform
+} // namespace jackdawwind::logservice
--- a/packages/platform/http_exchange.h
+++ b/packages/logservice/http_exchange.h
@@ -20,7 +20,7 @@
 #include "util/clock.h"
 #include "values/generated/platform.h"
 
-namespace jackdawwind::platform {
+namespace jackdawwind::logservice {
 
 /// Timer on the process's clock.
 using ClockTimer = boost::asio::basic_waitable_timer<Clock>;
@@ -64,4 +64,4 @@
                                               HttpRequest aRequest,
                                               HttpHandler aHandler);
 
-} // namespace jackdawwind::platform
+} // namespace jackdawwind::logservice
--- a/packages/platform/log_client.cc
+++ b/packages/logservice/log_client.cc
@@ -1,4 +1,4 @@
-#include "platform/log_client.h"
+#include "logservice/log_client.h"
 
 #include <algorithm>
 #include <optional>
@@ -7,12 +7,12 @@
 
 #include <json/value.h>
 
-#include "platform/post.h"
+#include "logservice/post.h"
 #include "wire/codec.h"
 #include "wire/envelope.h"
 #include "wire/generated/records_codec.h"
 
-namespace jackdawwind::platform {
+namespace jackdawwind::logservice {
 
 namespace {
 
@@ -232,4 +232,4 @@
     });
 }
 
-} // namespace jackdawwind::platform
+} // namespace jackdawwind::logservice
--- a/packages/platform/log_client.h
+++ b/packages/logservice/log_client.h
@@ -18,11 +18,11 @@
 
 #include <boost/asio/io_context.hpp>
 
-#include "platform/http_exchange.h"
+#include "logservice/http_exchange.h"
 #include "values/generated/platform.h"
 #include "values/generated/settings.h"
 
-namespace jackdawwind::platform {
+namespace jackdawwind::logservice {
 
 /// Largest response that is read. A batch of this size still fits the memory of a node.
 inline constexpr std::uint64_t kMaxReadBytes = 8ULL * 1024 * 1024;
@@ -75,4 +75,4 @@
 /// What an answer to a read says.
 LogReadResult DecodeReadOutcome(const LogReadRequest& aRequest, const HttpOutcome& aOutcome);
 
-} // namespace jackdawwind::platform
+} // namespace jackdawwind::logservice
--- a/packages/platform/log_follower.cc
+++ b/packages/logservice/log_follower.cc
@@ -1,12 +1,12 @@
-#include "platform/log_follower.h"
+#include "logservice/log_follower.h"
 
 #include <algorithm>
 #include <random>
 #include <utility>
 
-#include "platform/post.h"
+#include "logservice/post.h"
 
-namespace jackdawwind::platform {
+namespace jackdawwind::logservice {
 
 namespace {
 
@@ -258,4 +258,4 @@
   });
 }
 
-} // namespace jackdawwind::platform
+} // namespace jackdawwind::logservice
--- a/packages/platform/log_follower.h
+++ b/packages/logservice/log_follower.h
@@ -23,12 +23,12 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 
-#include "platform/log_client.h"
+#include "logservice/log_client.h"
 #include "util/random.h"
 #include "util/ring.h"
 #include "values/generated/calls.h"
 
-namespace jackdawwind::platform {
+namespace jackdawwind::logservice {
 
 class LogFollower
 {
@@ -105,4 +105,4 @@
   std::thread thread;
 };
 
-} // namespace jackdawwind::platform
+} // namespace jackdawwind::logservice
--- a/packages/platform/post.h
+++ b/packages/logservice/post.h
@@ -9,7 +9,7 @@
 
 #include <boost/asio/io_context.hpp>
 
-namespace jackdawwind::platform {
+namespace jackdawwind::logservice {
 
 /// Runs a function later on a thread of the io_context. May be called from any thread.
 template<typename Function>
@@ -19,4 +19,4 @@
   aContext.get_executor().post(std::move(aFunction), std::allocator<void>());
 }
 
-} // namespace jackdawwind::platform
+} // namespace jackdawwind::logservice
--- a/packages/platform/tests/log_client_test.cc
+++ b/packages/logservice/tests/log_client_test.cc
@@ -1,6 +1,6 @@
 // Guards against an append being called rejected when it may have taken effect, and against a read
 // that fails, hangs or grows without limit when the log service misbehaves.
-#include "platform/log_client.h"
+#include "logservice/log_client.h"
 
 #include <optional>
 
@@ -10,7 +10,7 @@
 #include "wire/codec.h"
 #include "wire/generated/records_codec.h"
 
-namespace jackdawwind::platform {
+namespace jackdawwind::logservice {
 namespace {
 
 using standins::LogService;
@@ -219,4 +219,4 @@
 }
 
 } // namespace
-} // namespace jackdawwind::platform
+} // namespace jackdawwind::logservice
--- a/packages/platform/tests/log_follower_test.cc
+++ b/packages/logservice/tests/log_follower_test.cc
@@ -1,6 +1,6 @@
 // Guards against lost, repeated or reordered log events when the log service fails or the sink is
 // full.
-#include "platform/log_follower.h"
+#include "logservice/log_follower.h"
 
 #include <condition_variable>
 #include <mutex>
@@ -12,7 +12,7 @@
 #include "wire/codec.h"
 #include "wire/generated/records_codec.h"
 
-namespace jackdawwind::platform {
+namespace jackdawwind::logservice {
 namespace {
 
 using standins::LogService;
@@ -189,4 +189,4 @@
 }
 
 } // namespace
-} // namespace jackdawwind::platform
+} // namespace jackdawwind::logservice
--- a/packages/node/node_process.cc
+++ b/packages/node/node_process.cc
@@ -63,7 +63,7 @@
   options.seed = (static_cast<std::uint64_t>(device()) << kWordBits) | device();
   options.makeId = wire::RandomId;
   this->core = std::make_unique<NodeCore>(std::move(options));
-  this->follower = std::make_unique<platform::LogFollower>(
+  this->follower = std::make_unique<logservice::LogFollower>(
     this->settings.Log(), [this](Event aEvent) { return this->events.TryPush(std::move(aEvent)); });
   this->reporting->Start();
   ReportEvent([this](ReportItem aItem) { this->reporting->Submit(std::move(aItem)); },
--- a/packages/node/node_process.h
+++ b/packages/node/node_process.h
@@ -18,7 +18,7 @@
 #include "node/peer_control.h"
 #include "node/proxy_io.h"
 #include "node/reporting.h"
-#include "platform/log_follower.h"
+#include "logservice/log_follower.h"
 #include "util/ring.h"
 #include "values/generated/settings.h"
 
@@ -60,7 +60,7 @@
   std::unique_ptr<Reporting> reporting;
   std::unique_ptr<ProxyIo> proxy;
   std::unique_ptr<PeerControl> peers;
-  std::unique_ptr<platform::LogFollower> follower;
+  std::unique_ptr<logservice::LogFollower> follower;
   std::unique_ptr<NodeCore> core;
   std::unique_ptr<DecisionLoop<NodeCore>> loop;
 };
--- a/packages/operator/config_applier.cc
+++ b/packages/operator/config_applier.cc
@@ -171,7 +171,7 @@
 void
 ConfigApplier::Sleep(milliseconds aDuration)
 {
-  platform::ClockTimer timer(this->context);
+  logservice::ClockTimer timer(this->context);
   timer.expires_after(aDuration);
   timer.async_wait([](const boost::system::error_code& /*aError*/) {});
   this->context.restart();
--- a/packages/operator/config_applier.h
+++ b/packages/operator/config_applier.h
@@ -17,7 +17,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "operator/control_replay.h"
-#include "platform/log_client.h"
+#include "logservice/log_client.h"
 #include "util/clock.h"
 #include "values/generated/operator.h"
 #include "values/generated/settings.h"
@@ -60,7 +60,7 @@
   const Options options;
   const Time deadline;
   boost::asio::io_context context;
-  platform::LogClient client;
+  logservice::LogClient client;
   ControlReplay replay;
 };
 
--- a/packages/operator/node_admin.cc
+++ b/packages/operator/node_admin.cc
@@ -5,7 +5,7 @@
 
 #include <boost/asio/io_context.hpp>
 
-#include "platform/http_exchange.h"
+#include "logservice/http_exchange.h"
 #include "wire/codec.h"
 #include "wire/generated/calls_codec.h"
 
@@ -91,7 +91,7 @@
 {
   boost::asio::io_context context;
   HttpOutcome outcome;
-  platform::StartHttpExchange(context,
+  logservice::StartHttpExchange(context,
                               { .host = this->options.host,
                                 .port = this->options.port,
                                 .method = aMethod,
--- a/packages/standins/log_service/log_service_thread.h
+++ b/packages/standins/log_service/log_service_thread.h
@@ -13,7 +13,7 @@
 
 #include <boost/asio/io_context.hpp>
 
-#include "platform/post.h"
+#include "logservice/post.h"
 #include "standins/log_service/log_service.h"
 
 namespace jackdawwind::standins {
@@ -45,7 +45,7 @@
     std::packaged_task<std::invoke_result_t<Function, LogService&>()> task(
       [this, function = std::move(aFunction)]() mutable { return function(this->service); });
     std::future<std::invoke_result_t<Function, LogService&>> result = task.get_future();
-    platform::Post(this->context, std::move(task));
+    logservice::Post(this->context, std::move(task));
     return result.get();
   }
 
