--- a/packages/node/node_process.h
+++ b/packages/node/node_process.h
@@ -14,11 +14,11 @@
 #include <variant>
 
 #include "decisions/node_core.h"
+#include "logservice/log_follower.h"
 #include "node/decision_loop.h"
 #include "node/peer_control.h"
 #include "node/proxy_io.h"
 #include "node/reporting.h"
-#include "logservice/log_follower.h"
 #include "util/ring.h"
 #include "values/generated/settings.h"
 
--- a/packages/node/outgoing_exchange.cc
+++ b/packages/node/outgoing_exchange.cc
@@ -217,7 +217,8 @@
     return;
   }
   WholeAnswer answer{ this->parser->release(), std::move(this->reservation) };
-  if (answer.response.keep_alive() && this->strays == 0 && this->serializer->is_done() && this->buffer.size() == 0) {
+  if (answer.response.keep_alive() && this->strays == 0 && this->serializer->is_done() &&
+      this->buffer.size() == 0) {
     this->network.pool.Return(this->request.endpoint, std::move(*this->connection));
     this->connection.reset();
   }
--- a/packages/operator/config_applier.h
+++ b/packages/operator/config_applier.h
@@ -16,8 +16,8 @@
 
 #include <boost/asio/io_context.hpp>
 
-#include "operator/control_replay.h"
 #include "logservice/log_client.h"
+#include "operator/control_replay.h"
 #include "util/clock.h"
 #include "values/generated/operator.h"
 #include "values/generated/settings.h"
--- a/packages/operator/node_admin.cc
+++ b/packages/operator/node_admin.cc
@@ -91,15 +91,16 @@
 {
   boost::asio::io_context context;
   HttpOutcome outcome;
-  logservice::StartHttpExchange(context,
-                              { .host = this->options.host,
-                                .port = this->options.port,
-                                .method = aMethod,
-                                .target = aTarget,
-                                .token = this->options.token,
-                                .timeout = this->options.timeout,
-                                .maxBodyBytes = kMaxStatusBytes },
-                              [&outcome](HttpOutcome aOutcome) { outcome = std::move(aOutcome); });
+  logservice::StartHttpExchange(
+    context,
+    { .host = this->options.host,
+      .port = this->options.port,
+      .method = aMethod,
+      .target = aTarget,
+      .token = this->options.token,
+      .timeout = this->options.timeout,
+      .maxBodyBytes = kMaxStatusBytes },
+    [&outcome](HttpOutcome aOutcome) { outcome = std::move(aOutcome); });
   context.run();
   return outcome;
 }
