Assume today's number of nodes in the repeat budget; drop unused members

Cause, found by reading the diff: a node that has just started knows no other one and computes its part of the fleet's extra repeats as the whole. Change: at least 16 nodes are assumed, so that the bound does not hang on that order of events. Besides, members and parameters that nothing used are gone, and the header of TargetGate shows its present interface. All tests of decisions and adapter pass.

--- a/packages/decisions/mesh/mesh_core.cc
+++ b/packages/decisions/mesh/mesh_core.cc
@@ -55,7 +55,6 @@
                .domain = this->options.domain,
                .region = this->options.region },
              SeedFor(this->options.seed, SeedOf::kPicker))
-    , target(this->options.self.Node())
     , entry({ configuration, membership.Members(), quota, budget, splits, picker, target },
             { .node = this->options.self.Node(), .service = this->options.service },
             SeedFor(this->options.seed, SeedOf::kEntry))
--- a/packages/decisions/mesh/quota_pool.cc
+++ b/packages/decisions/mesh/quota_pool.cc
@@ -45,9 +45,8 @@
 
 } // namespace
 
-QuotaPool::QuotaPool(PeerAddress aSelf, Time aStart)
+QuotaPool::QuotaPool(PeerAddress aSelf)
   : self(std::move(aSelf))
-  , start(aStart)
 {
 }
 
@@ -300,7 +299,7 @@
     }
     account.drawn += grant.Want();
     account.drawnAt = aNow;
-    this->ServeWaiters(account, aNow);
+    this->ServeWaiters(account);
     if (grant.Want() > 0) {
       continue;
     }
@@ -314,7 +313,7 @@
 }
 
 void
-QuotaPool::ServeWaiters(Account& aAccount, Time /*aNow*/)
+QuotaPool::ServeWaiters(Account& aAccount)
 {
   while (!aAccount.waiters.empty() && aAccount.drawn >= 1.0) {
     aAccount.drawn -= 1.0;
--- a/packages/decisions/mesh/quota_pool.h
+++ b/packages/decisions/mesh/quota_pool.h
@@ -1,7 +1,7 @@
 // Rate and burst of organisations over all nodes.
 //
-//   QuotaPool pool(self, seed);
-//   pool.Configure(table);
+//   QuotaPool pool(self);
+//   pool.Configure(table, now);
 //   switch (pool.Request(exchange, "acme", now)) { ... kTaken, kWaiting, kRefused ... }
 //   pool.Poll(now, effects);                          // sends draws, ends waits
 //   for (const QuotaPool::Decision& decision : pool.TakeDecisions()) { ... }
@@ -56,7 +56,7 @@
   /// Time that a request waits for a token; a draw over the link between regions takes 20 ms.
   static constexpr Duration kDrawTimeout = std::chrono::milliseconds(150);
 
-  explicit QuotaPool(PeerAddress aSelf, Time aStart = Time{});
+  explicit QuotaPool(PeerAddress aSelf);
 
   void Configure(const RouteTable& aTable, Time aNow);
   /// aExpectedNodes: nodes that have registered in the store, ended ones among them.
@@ -116,7 +116,8 @@
   };
 
   bool IsKeeper(const Account& aAccount) const;
-  /// Whether this node has no company yet, or has just started.
+  /// Whether this node knows no other live one: it has just started, or the others are out of
+  /// reach.
   bool IsAlone() const { return this->liveNodes <= 1; }
   static void Fill(Bucket& aBucket, double aRate, double aCapacity, Time aNow);
   static bool TakeOne(Bucket& aBucket);
@@ -125,11 +126,10 @@
   static void NoteDemand(Account& aAccount, Time aNow);
   static std::uint32_t WantOf(const Account& aAccount);
   void Draw(Channel& aChannel, Time aNow, Effects& aEffects);
-  void ServeWaiters(Account& aAccount, Time aNow);
+  void ServeWaiters(Account& aAccount);
   void ChooseKeepers(const Members& aMembers, Time aNow);
 
   PeerAddress self;
-  Time start;
   std::size_t liveNodes = 1;
   std::size_t expectedNodes = 1;
   std::map<std::string, Account> accounts;
--- a/packages/decisions/mesh/repeat_budget.cc
+++ b/packages/decisions/mesh/repeat_budget.cc
@@ -4,6 +4,14 @@
 
 namespace jackdawwind {
 
+namespace {
+
+/// Nodes to assume at least: one that has just started knows no other, and after a restart of the
+/// whole fleet each would take the extra repeats for itself. The size of today's deployments.
+constexpr std::size_t kLeastNodes = 16;
+
+} // namespace
+
 RepeatBudget::RepeatBudget(Options aOptions)
   : options(aOptions)
 {
@@ -12,7 +20,7 @@
 void
 RepeatBudget::SetNodes(std::size_t aNodes)
 {
-  this->nodes = std::max<std::size_t>(aNodes, 1);
+  this->nodes = std::max(aNodes, kLeastNodes);
 }
 
 double
--- a/packages/decisions/mesh/repeat_budget.h
+++ b/packages/decisions/mesh/repeat_budget.h
@@ -28,8 +28,7 @@
 
   explicit RepeatBudget(Options aOptions);
 
-  void SetOptions(Options aOptions) { this->options = aOptions; }
-  /// Nodes that share the fleet's extra repeats.
+  /// Nodes that share the fleet's extra repeats; must be called before the first request.
   void SetNodes(std::size_t aNodes);
   void NoteRequest(const std::string& aService);
   bool TryTake(const std::string& aService);
@@ -41,7 +40,7 @@
   double Capacity() const;
 
   Options options;
-  std::size_t nodes = 16;
+  std::size_t nodes = 0;
   std::map<std::string, double> tokens;
 };
 
--- a/packages/decisions/mesh/target_gate.cc
+++ b/packages/decisions/mesh/target_gate.cc
@@ -45,11 +45,10 @@
   this->chain.SetSlots(aSlots);
 }
 
-std::size_t
-TargetGate::WaitingCallers() const
+bool
+TargetGate::CallerWaits() const
 {
-  const auto first = this->waiting.lower_bound(Key{ kFirstCallerRank, 0 });
-  return first == this->waiting.end() ? 0 : 1;
+  return this->waiting.lower_bound(Key{ kFirstCallerRank, 0 }) != this->waiting.end();
 }
 
 bool
@@ -61,7 +60,7 @@
   if (!IsCall(aRank)) {
     return this->runningCallers < this->chain.Limit();
   }
-  if (this->WaitingCallers() == 0) {
+  if (!this->CallerWaits()) {
     return true;
   }
   const std::size_t part = static_cast<std::size_t>(this->slots * kCallersPart);
--- a/packages/decisions/mesh/target_gate.h
+++ b/packages/decisions/mesh/target_gate.h
@@ -3,8 +3,8 @@
 //   TargetGate gate;
 //   gate.SetSlots(67);
 //   switch (gate.Offer(waiting, now)) { ... }
-//   gate.End(exchange, took);                  // a slot is free
-//   while (std::optional<Waiting> next = gate.TakeNext(now)) { ... run it ... }
+//   gate.Finish(context, { .took = took }, now);   // a slot is free
+//   while (std::optional<Waiting> next = gate.TakeNext()) { ... run it ... }
 //   for (const Waiting& late : gate.TakeExpired(now)) { ... refuse it ... }
 //
 // Every request for the target passes this gate, so it knows exactly how many run and never sends
@@ -103,7 +103,7 @@
   using Queue = std::map<Key, Entry>;
 
   bool HasRoom(std::uint32_t aRank) const;
-  std::size_t WaitingCallers() const;
+  bool CallerWaits() const;
   void CountRunning(std::uint32_t aRank);
   /// First request that may run now; end when there is none.
   Queue::iterator NextToRun();
--- a/packages/decisions/mesh/target_side.cc
+++ b/packages/decisions/mesh/target_side.cc
@@ -21,11 +21,6 @@
 
 } // namespace
 
-TargetSide::TargetSide(std::string aNode)
-  : node(std::move(aNode))
-{
-}
-
 bool
 TargetSide::TakesWork(Time aNow) const
 {
--- a/packages/decisions/mesh/target_side.h
+++ b/packages/decisions/mesh/target_side.h
@@ -1,7 +1,7 @@
 // The target beside this node and all requests for it: those of other nodes and those that begin on
 // this host.
 //
-//   TargetSide side(self);
+//   TargetSide side;
 //   side.Offer(request, now, effects);
 //   side.Receive(ended, now, effects);           // the target's answer
 //   for (const TargetSide::Outcome& outcome : side.TakeOutcomes()) { ... requests of this host ...
@@ -47,9 +47,6 @@
     HopAnswered answer;
   };
 
-  /// aNode: this node's id, for log lines.
-  explicit TargetSide(std::string aNode);
-
   void Offer(const Request& aRequest, Time aNow, Effects& aEffects);
   /// False when no request of this exchange is at the target or waits for it.
   bool Receive(const SendEnded& aEnded, Time aNow, Effects& aEffects);
@@ -94,7 +91,6 @@
   void Finish(const Entry& aEntry, const HopAnswered& aAnswer, Effects& aEffects);
   HopAnswered Judge(const SendOutcome& aOutcome) const;
 
-  std::string node;
   TargetRegistration registration;
   TargetGate gate;
   Entries requests;
--- a/packages/decisions/tests/mesh_core_test.cc
+++ b/packages/decisions/tests/mesh_core_test.cc
@@ -188,6 +188,26 @@
   EXPECT_LE(mesh.Runs().size(), kRequests + kRequests * 0.2 / 3 + 48.0 / 3 / 5 + 1);
 }
 
+TEST(MeshCore, ARestartOfAllNodesGivesNoneTheWholeExtraOfTheRepeats)
+{
+  // Guards against a budget that every node takes for itself while it knows no other node.
+  FakeMesh mesh(1);
+  StartFleet(mesh);
+  for (const char* node : { "a1", "a2", "b1", "b2", "b3" }) {
+    mesh.Restart(node);
+    mesh.SetMood(node, FakeMesh::Mood::kBreak);
+  }
+  mesh.Advance(seconds(1));
+  mesh.Configure(MakeConfiguration(1));
+  constexpr std::size_t kRequests = 10;
+  for (std::size_t index = 0; index < kRequests; ++index) {
+    mesh.Request("a2", "api", "/fleet/1", "north-key");
+    mesh.Advance(milliseconds(20));
+  }
+  mesh.Advance(seconds(3));
+  EXPECT_LE(mesh.Runs().size(), kRequests + 2);
+}
+
 TEST(MeshCore, ALeavingTargetGetsNoNewWork)
 {
   FakeMesh mesh(1);
--- a/packages/node/mesh_io.cc
+++ b/packages/node/mesh_io.cc
@@ -384,7 +384,6 @@
     .reuse = aEffect.Context().Idempotent() ? Reuse::kAny : Reuse::kRecent,
     .timeout = aEffect.Timeout(),
     .silence = std::nullopt,
-    .belongs = {},
   };
   request.header.set(kHopHeader, wire::EncodeText(aEffect.Context()));
   this->Send(aEffect.Exchange(), aEffect.Attempt(), std::move(request));
