Give the graceful shutdown and the set of connections one class each

Cause: MeshCore and NodeCore each kept the times of a graceful shutdown in a struct of the same name and advanced it by the same dozen lines; MeshIo and ProxyIo each swept closed connections and flushed answers under way by the same two functions. A correction in one was missed in the other: the flush limits already differed in how often they looked.

GracefulShutdown (decisions) and ConnectionSet (node) replace both copies. Ruled out: a common base of the two cores. They share the shutdown and nothing else that has state.

--- /dev/null
+++ b/packages/decisions/graceful_shutdown.cc
@@ -0,0 +1,46 @@
+#include "decisions/graceful_shutdown.h"
+
+namespace jackdawwind {
+
+bool
+GracefulShutdown::Begin(Times aTimes, Effects& aEffects)
+{
+  if (this->Begun()) {
+    return false;
+  }
+  this->stage = Stage::kNoticed;
+  this->times = aTimes;
+  AddLogLine(aEffects, LogEvent::kDrainStarted, "");
+  return true;
+}
+
+void
+GracefulShutdown::Advance(bool aIdle, Time aNow, Effects& aEffects)
+{
+  if (this->stage == Stage::kNoticed && aNow >= this->times.refuseAt) {
+    this->stage = Stage::kRefusing;
+  }
+  if (this->stage != Stage::kRefusing || (!aIdle && aNow < this->times.giveUpAt)) {
+    return;
+  }
+  this->stage = Stage::kFinished;
+  AddLogLine(aEffects, aIdle ? LogEvent::kDrainFinished : LogEvent::kDrainTimedOut, "");
+  aEffects.push_back(DrainFinished());
+}
+
+Time
+GracefulShutdown::NextWake() const
+{
+  switch (this->stage) {
+    case Stage::kNoticed:
+      return this->times.refuseAt;
+    case Stage::kRefusing:
+      return this->times.giveUpAt;
+    case Stage::kServing:
+    case Stage::kFinished:
+      break;
+  }
+  return Time::max();
+}
+
+} // namespace jackdawwind
--- a/packages/decisions/mesh/mesh_core.cc
+++ b/packages/decisions/mesh/mesh_core.cc
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "decisions/graceful_shutdown.h"
 #include "decisions/membership/membership.h"
 #include "decisions/mesh/entry_requests.h"
 
@@ -87,29 +88,11 @@
     return std::min({ this->membership.NextWake(),
                       this->quota.NextWake(),
                       this->target.NextWake(),
-                      this->drain.NextWake(),
+                      this->shutdown.NextWake(),
                       ready });
   }
 
 private:
-  /// Times of a graceful shutdown.
-  struct Drain
-  {
-    bool asked = false;
-    bool refusing = false;
-    bool finished = false;
-    Time refuseAt = Time::max();
-    Time giveUpAt = Time::max();
-
-    Time NextWake() const
-    {
-      if (this->finished) {
-        return Time::max();
-      }
-      return this->refusing ? this->giveUpAt : this->refuseAt;
-    }
-  };
-
   void On(const MeshRequestArrived& aEvent, Time aNow, Effects& aEffects)
   {
     this->entry.Receive(aEvent, aNow, aEffects);
@@ -179,14 +162,11 @@
   }
   void On(const DrainRequested& /*aEvent*/, Time aNow, Effects& aEffects)
   {
-    if (this->drain.asked) {
-      return;
+    if (this->shutdown.Begin({ .refuseAt = aNow + this->options.drainDelay,
+                               .giveUpAt = aNow + this->options.drainTimeout },
+                             aEffects)) {
+      this->membership.Leave(aNow, aEffects);
     }
-    this->drain.asked = true;
-    this->drain.refuseAt = aNow + this->options.drainDelay;
-    this->drain.giveUpAt = aNow + this->options.drainTimeout;
-    AddLogLine(aEffects, LogEvent::kDrainStarted, "");
-    this->membership.Leave(aNow, aEffects);
   }
   /// TimerFired, and events of the core that routes by service.
   template<typename Other>
@@ -285,7 +265,7 @@
     for (const std::string& node : this->quota.TakeSilentKeepers()) {
       this->membership.Doubt(node, aNow);
     }
-    this->AdvanceDrain(aNow, aEffects);
+    this->AdvanceShutdown(aNow, aEffects);
     this->ShowPhase(aNow, aEffects);
     for (const Effect& effect : aEffects) {
       if (const ForgetPeer* forget = std::get_if<ForgetPeer>(&effect)) {
@@ -304,22 +284,13 @@
     this->budget.SetNodes(this->membership.Members().size());
   }
 
-  void AdvanceDrain(Time aNow, Effects& aEffects)
+  void AdvanceShutdown(Time aNow, Effects& aEffects)
   {
-    if (!this->drain.asked || this->drain.finished || aNow < this->drain.refuseAt) {
-      return;
-    }
-    if (!this->drain.refusing) {
-      this->drain.refusing = true;
-      this->entry.RefuseNew();
-    }
     const bool idle = this->entry.Count() == 0 && this->target.Count() == 0;
-    if (!idle && aNow < this->drain.giveUpAt) {
-      return;
+    this->shutdown.Advance(idle, aNow, aEffects);
+    if (this->shutdown.Refuses()) {
+      this->entry.RefuseNew();
     }
-    this->drain.finished = true;
-    AddLogLine(aEffects, idle ? LogEvent::kDrainFinished : LogEvent::kDrainTimedOut, "");
-    aEffects.push_back(DrainFinished());
   }
 
   void ShowPhase(Time aNow, Effects& aEffects)
@@ -333,7 +304,7 @@
 
   Phase CurrentPhase(Time aNow) const
   {
-    if (this->drain.asked) {
+    if (this->shutdown.Begun()) {
       return Phase::kDraining;
     }
     const bool company =
@@ -373,7 +344,7 @@
   NodePicker picker;
   TargetSide target;
   EntryRequests entry;
-  Drain drain;
+  GracefulShutdown shutdown;
   Phase phase = Phase::kBooting;
   Time startedAt{};
   std::uint64_t seenChanges = 0;
--- a/packages/decisions/node_core.cc
+++ b/packages/decisions/node_core.cc
@@ -9,6 +9,7 @@
 #include "decisions/calls/entry_calls.h"
 #include "decisions/claims/claim_ledger.h"
 #include "decisions/config/control_follower.h"
+#include "decisions/graceful_shutdown.h"
 #include "decisions/membership/announcer.h"
 #include "decisions/membership/membership.h"
 #include "decisions/overload/admission_controller.h"
@@ -123,28 +124,10 @@
                       this->claims.NextWake(),
                       this->controller.NextWake(),
                       this->targetLeaseEnd,
-                      this->drain.NextWake() });
+                      this->shutdown.NextWake() });
   }
 
 private:
-  /// Times of a graceful shutdown.
-  struct Drain
-  {
-    bool asked = false;
-    bool refusing = false;
-    bool finished = false;
-    Time refuseAt = Time::max();
-    Time giveUpAt = Time::max();
-
-    Time NextWake() const
-    {
-      if (this->finished) {
-        return Time::max();
-      }
-      return this->refusing ? this->giveUpAt : this->refuseAt;
-    }
-  };
-
   void On(const CallArrived& aEvent, Time aNow, Effects& aEffects)
   {
     this->entry.Receive(aEvent, aNow, aEffects);
@@ -159,7 +142,7 @@
   }
   void On(const AttemptArrived& aEvent, Time aNow, Effects& aEffects)
   {
-    if (this->drain.refusing) {
+    if (this->shutdown.Refuses()) {
       this->admitted.RefuseAttempt(aEvent, ResultCode::kNodeDraining, aEffects);
       return;
     }
@@ -210,15 +193,12 @@
   }
   void On(const DrainRequested& /*aEvent*/, Time aNow, Effects& aEffects)
   {
-    if (this->drain.asked) {
-      return;
+    const Time refuseAt = aNow + this->options.settings.DrainDelayMs();
+    const Time giveUpAt = refuseAt + this->options.settings.DrainTimeoutMs();
+    if (this->shutdown.Begin({ .refuseAt = refuseAt, .giveUpAt = giveUpAt }, aEffects)) {
+      this->membership.Leave(aNow, aEffects);
+      this->rate.Leave(aNow, aEffects);
     }
-    this->drain.asked = true;
-    this->drain.refuseAt = aNow + this->options.settings.DrainDelayMs();
-    this->drain.giveUpAt = this->drain.refuseAt + this->options.settings.DrainTimeoutMs();
-    AddLogLine(aEffects, LogEvent::kDrainStarted, "");
-    this->membership.Leave(aNow, aEffects);
-    this->rate.Leave(aNow, aEffects);
   }
   void On(const TimerFired& /*aEvent*/, Time /*aNow*/, Effects& /*aEffects*/) {}
   /// Events of a fleet that routes by host and path do not reach this core.
@@ -296,7 +276,7 @@
     this->claims.Poll(aNow, aEffects);
     this->admitted.Poll(aNow, aEffects);
     this->entry.Continue(aNow, aEffects);
-    this->AdvanceDrain(aNow, aEffects);
+    this->AdvanceShutdown(aNow, aEffects);
     this->ShowPhase(aEffects);
     this->ForgetPeers(aEffects);
   }
@@ -368,21 +348,14 @@
     this->claims.SetFleetSize(this->membership.Members().size());
   }
 
-  void AdvanceDrain(Time aNow, Effects& aEffects)
+  void AdvanceShutdown(Time aNow, Effects& aEffects)
   {
-    if (!this->drain.asked || this->drain.finished || aNow < this->drain.refuseAt) {
-      return;
-    }
-    this->drain.refusing = true;
-    this->entry.RefuseRoots();
     const bool idle =
       this->entry.Count() == 0 && this->admitted.Count() == 0 && this->claims.Idle();
-    if (!idle && aNow < this->drain.giveUpAt) {
-      return;
+    this->shutdown.Advance(idle, aNow, aEffects);
+    if (this->shutdown.Refuses()) {
+      this->entry.RefuseRoots();
     }
-    this->drain.finished = true;
-    AddLogLine(aEffects, idle ? LogEvent::kDrainFinished : LogEvent::kDrainTimedOut, "");
-    aEffects.push_back(DrainFinished());
   }
 
   void ShowPhase(Effects& aEffects)
@@ -396,7 +369,7 @@
 
   Phase CurrentPhase() const
   {
-    if (this->drain.asked) {
+    if (this->shutdown.Begun()) {
       return Phase::kDraining;
     }
     return this->control.State().Revision().empty() ? Phase::kBooting : Phase::kServing;
@@ -439,7 +412,7 @@
   AdmissionController controller;
   AdmittedCalls admitted;
   EntryCalls entry;
-  Drain drain;
+  GracefulShutdown shutdown;
   Time targetLeaseEnd = Time::max();
   std::string configuredRevision;
   std::uint64_t seenChanges = 0;
--- a/packages/node/mesh_io.cc
+++ b/packages/node/mesh_io.cc
@@ -85,8 +85,7 @@
              .maxHeaderBytes = aSettings.MaxHeaderBytes(),
              .maxBodyBytes = aSettings.MaxBodyBytes() }
   , events(this->io, aEvents, this->report)
-  , sweepTimer(this->io)
-  , flushTimer(this->io)
+  , connections(this->io, this->pool)
   , effects(kEffectRing, [this] { asio::post(this->io, [this] { this->ApplyEffects(); }); })
 {
 }
@@ -131,7 +130,7 @@
       [this, side](Tcp::socket aSocket) { this->Accept(side, std::move(aSocket)); });
     ++index;
   }
-  this->Sweep();
+  this->connections.StartSweeping();
   this->thread = std::thread([this] { this->io.run(); });
 }
 
@@ -153,7 +152,7 @@
     for (const std::unique_ptr<Listener>& listener : this->listeners) {
       listener->Stop();
     }
-    this->Flush(Clock::now() + kFlushLimit);
+    this->connections.FlushAndStop(Clock::now() + kFlushLimit);
   });
   this->thread.join();
 }
@@ -185,8 +184,7 @@
                                        this->connectionCount,
                                        options,
                                        std::move(handlers));
-  this->connections.push_back(connection);
-  connection->Start();
+  this->connections.Add(connection);
 }
 
 void
@@ -581,36 +579,4 @@
   this->exchanges.erase(aExchange);
 }
 
-void
-MeshIo::Sweep()
-{
-  this->pool.Sweep(Clock::now());
-  std::erase_if(this->connections, [](const std::weak_ptr<ServerConnection>& aConnection) {
-    return aConnection.expired();
-  });
-  this->sweepTimer.expires_after(kSweepInterval);
-  this->sweepTimer.async_wait([this](const ErrorCode& aError) {
-    if (!aError) {
-      this->Sweep();
-    }
-  });
-}
-
-void
-MeshIo::Flush(Time aDeadline)
-{
-  const bool writing = std::any_of(this->connections.begin(),
-                                   this->connections.end(),
-                                   [](const std::weak_ptr<ServerConnection>& aConnection) {
-                                     const ServerConnection::Pointer one = aConnection.lock();
-                                     return one && one->IsWriting();
-                                   });
-  if (!writing || Clock::now() >= aDeadline) {
-    this->io.stop();
-    return;
-  }
-  this->flushTimer.expires_after(kFlushCheck);
-  this->flushTimer.async_wait([this, aDeadline](const ErrorCode&) { this->Flush(aDeadline); });
-}
-
 } // namespace jackdawwind::node
--- a/packages/node/mesh_io.h
+++ b/packages/node/mesh_io.h
@@ -24,6 +24,7 @@
 #include <vector>
 
 #include "node/connection_pool.h"
+#include "node/connection_set.h"
 #include "node/event_sender.h"
 #include "node/listener.h"
 #include "node/mesh_front.h"
@@ -85,9 +86,7 @@
   static constexpr std::size_t kEffectRing = 4096;
   static constexpr std::size_t kMaxConnections = 2048;
   static constexpr std::size_t kMaxExchanges = 4096;
-  static constexpr Duration kSweepInterval = std::chrono::seconds(1);
   static constexpr Duration kFlushLimit = std::chrono::milliseconds(200);
-  static constexpr Duration kFlushCheck = std::chrono::milliseconds(5);
 
   struct Attempt
   {
@@ -154,8 +153,6 @@
   void DeliverEnd(std::uint64_t aExchange, std::uint32_t aAttempt, const SendOutcome& aOutcome);
   void Erase(Exchanges::iterator aExchange);
   AfterAnswer After(const Exchange& aExchange) const;
-  void Sweep();
-  void Flush(Time aDeadline);
 
   const MeshSettings& settings;
   const MeshFront& front;
@@ -166,14 +163,12 @@
   OutgoingNetwork network;
   EventSender events;
   std::vector<std::unique_ptr<Listener>> listeners;
-  std::vector<std::weak_ptr<ServerConnection>> connections;
   std::shared_ptr<std::size_t> connectionCount = std::make_shared<std::size_t>(0);
   Exchanges exchanges;
   std::uint64_t lastExchange = 0;
   std::map<std::string, Tcp::endpoint> peers;
   Phase phase = Phase::kBooting;
-  ClockTimer sweepTimer;
-  ClockTimer flushTimer;
+  ConnectionSet connections;
   Ring<MeshEffect> effects;
   std::thread thread;
 };
--- a/packages/node/proxy_io.cc
+++ b/packages/node/proxy_io.cc
@@ -55,8 +55,7 @@
              .report = this->report }
   , entryExchanges(this->context)
   , admittedExchanges(this->context)
-  , sweepTimer(this->io)
-  , flushTimer(this->io)
+  , connections(this->io, this->pool)
   , effects(kEffectRing, [this] { asio::post(this->io, [this] { this->ApplyEffects(); }); })
 {
 }
@@ -101,7 +100,7 @@
   this->target->Start(
     [this](Tcp::socket aSocket) { this->AcceptCaller(std::move(aSocket), ListenerKind::kTarget); });
   this->peers->Start([this](Tcp::socket aSocket) { this->AcceptPeer(std::move(aSocket)); });
-  this->Sweep();
+  this->connections.StartSweeping();
   this->thread = std::thread([this] { this->io.run(); });
 }
 
@@ -123,7 +122,7 @@
     this->callers->Stop();
     this->target->Stop();
     this->peers->Stop();
-    this->Flush(Clock::now() + kFlushLimit);
+    this->connections.FlushAndStop(Clock::now() + kFlushLimit);
   });
   this->thread.join();
 }
@@ -159,12 +158,12 @@
         aConnection, ListenerKind::kCallers, std::move(aRequest), std::move(aReservation));
     }
   };
-  this->Begin(std::make_shared<ServerConnection>(std::move(aSocket),
-                                                 this->io,
-                                                 this->budget,
-                                                 count,
-                                                 this->ConnectionOptions(),
-                                                 std::move(handlers)));
+  this->connections.Add(std::make_shared<ServerConnection>(std::move(aSocket),
+                                                           this->io,
+                                                           this->budget,
+                                                           count,
+                                                           this->ConnectionOptions(),
+                                                           std::move(handlers)));
 }
 
 void
@@ -186,17 +185,10 @@
   };
   ServerConnection::Options options = this->ConnectionOptions();
   options.interim = kInterimInterval;
-  this->Begin(std::make_shared<ServerConnection>(
+  this->connections.Add(std::make_shared<ServerConnection>(
     std::move(aSocket), this->io, this->budget, this->peerCount, options, std::move(handlers)));
 }
 
-void
-ProxyIo::Begin(const ServerConnection::Pointer& aConnection)
-{
-  this->connections.push_back(aConnection);
-  aConnection->Start();
-}
-
 void
 ProxyIo::OnTargetRequest(const ServerConnection::Pointer& aConnection,
                          HttpRequest aRequest,
@@ -279,36 +271,4 @@
   this->context.draining = aEffect.GetPhase() == Phase::kDraining;
 }
 
-void
-ProxyIo::Sweep()
-{
-  this->pool.Sweep(Clock::now());
-  std::erase_if(this->connections, [](const std::weak_ptr<ServerConnection>& aConnection) {
-    return aConnection.expired();
-  });
-  this->sweepTimer.expires_after(kSweepInterval);
-  this->sweepTimer.async_wait([this](const ErrorCode& aError) {
-    if (!aError) {
-      this->Sweep();
-    }
-  });
-}
-
-void
-ProxyIo::Flush(Time aDeadline)
-{
-  const bool writing = std::any_of(this->connections.begin(),
-                                   this->connections.end(),
-                                   [](const std::weak_ptr<ServerConnection>& aConnection) {
-                                     const ServerConnection::Pointer one = aConnection.lock();
-                                     return one && one->IsWriting();
-                                   });
-  if (!writing || Clock::now() >= aDeadline) {
-    this->io.stop();
-    return;
-  }
-  this->flushTimer.expires_after(kFlushCheck);
-  this->flushTimer.async_wait([this, aDeadline](const ErrorCode&) { this->Flush(aDeadline); });
-}
-
 } // namespace jackdawwind::node
--- a/packages/node/proxy_io.h
+++ b/packages/node/proxy_io.h
@@ -21,6 +21,7 @@
 
 #include "node/admitted_exchanges.h"
 #include "node/connection_pool.h"
+#include "node/connection_set.h"
 #include "node/entry_exchanges.h"
 #include "node/event_sender.h"
 #include "node/listener.h"
@@ -73,10 +74,8 @@
 private:
   /// Interval of interim responses to entry nodes; a third of their silence limit.
   static constexpr Duration kInterimInterval = std::chrono::milliseconds(500);
-  static constexpr Duration kSweepInterval = std::chrono::seconds(1);
   /// Longest time for which Stop waits for answers to be written.
   static constexpr Duration kFlushLimit = std::chrono::seconds(5);
-  static constexpr Duration kFlushCheck = std::chrono::milliseconds(10);
   static constexpr std::size_t kEffectRing = 4096;
   /// Open connections of one listener beyond which new ones are closed at once.
   static constexpr std::size_t kMaxConnections = 8192;
@@ -89,12 +88,9 @@
                        BodyReservation aReservation);
   void OnAnnouncement(const ServerConnection::Pointer& aConnection, const HttpRequest& aRequest);
   ServerConnection::Options ConnectionOptions() const;
-  void Begin(const ServerConnection::Pointer& aConnection);
   void ApplyEffects();
   void Apply(const Refuse& aEffect);
   void Apply(const PhaseChanged& aEffect);
-  void Sweep();
-  void Flush(Time aDeadline);
 
   const NodeSettings& settings;
   ReportSink report;
@@ -109,9 +105,7 @@
   ProxyContext context;
   EntryExchanges entryExchanges;
   AdmittedExchanges admittedExchanges;
-  ClockTimer sweepTimer;
-  ClockTimer flushTimer;
-  std::vector<std::weak_ptr<ServerConnection>> connections;
+  ConnectionSet connections;
   std::unique_ptr<Listener> callers;
   std::unique_ptr<Listener> target;
   std::unique_ptr<Listener> peers;
