Hold an organisation's quota in every kind of cut

Cause: after a cut each part of the fleet chooses a keeper of its own for every quota, and each filled its bucket at the whole rate; a node cut off alone did so until its probes had found every other node dead, one a second; and a node that had been alone came back with a whole burst, since its own bucket had gone on filling meanwhile.

Change: FleetShare tells which part of the expected nodes is in sight, and a keeper's bucket fills with that part of the rate (a majority may use a tenth more, so that a few dead nodes cost nothing). Nodes that signed off, and those dead for 30 s, are not expected. A node that takes the place of a keeper that did not sign off grants three tenths for 5 s, while the other side of a cut is being found. A node that hears nothing for 2.5 s is alone. What fills while it is alone is void.

--- a/packages/decisions/mesh/mesh_core.cc
+++ b/packages/decisions/mesh/mesh_core.cc
@@ -1,6 +1,8 @@
 #include "decisions/mesh/mesh_core.h"
 
 #include <algorithm>
+#include <set>
+#include <string>
 #include <type_traits>
 #include <utility>
 #include <variant>
@@ -144,11 +146,13 @@
   }
   void On(const PeersRead& aEvent, Time aNow, Effects& aEffects)
   {
-    this->registeredNodes = aEvent.Peers().size();
-    this->quota.SetMembers(this->membership.Members(), this->registeredNodes, aNow);
+    std::set<std::string> registered{ this->options.self.Node() };
     for (const NodeAnnounced& peer : aEvent.Peers()) {
+      registered.insert(peer.Address().Node());
       this->membership.Learn(peer, aNow, aEffects);
     }
+    this->quota.SetRegistered(std::move(registered));
+    this->quota.SetMembers(this->membership.Members(), aNow);
   }
   void On(const PeerReceived& aEvent, Time aNow, Effects& aEffects)
   {
@@ -176,11 +180,13 @@
 
   void OnPeer(const Probe& aMessage, Time aNow, Effects& aEffects)
   {
+    this->quota.NoteHeard(aNow);
     this->membership.Receive(aMessage, aNow, aEffects);
     this->configuration.NoteVersion(aMessage.Sender(), aMessage.ConfigOffset(), aNow, aEffects);
   }
   void OnPeer(const ProbeAck& aMessage, Time aNow, Effects& aEffects)
   {
+    this->quota.NoteHeard(aNow);
     this->membership.Receive(aMessage, aNow, aEffects);
     const std::map<std::string, Member>::const_iterator sender =
       this->membership.Members().find(aMessage.Subject());
@@ -195,6 +201,7 @@
   }
   void OnPeer(const MemberSync& aMessage, Time aNow, Effects& aEffects)
   {
+    this->quota.NoteHeard(aNow);
     this->membership.Receive(aMessage, aNow, aEffects);
   }
   void OnPeer(const MeshConfigOffer& aMessage, Time aNow, Effects& aEffects)
@@ -212,10 +219,12 @@
   }
   void OnPeer(const QuotaDraw& aMessage, Time aNow, Effects& aEffects)
   {
+    this->quota.NoteHeard(aNow);
     this->quota.Receive(aMessage, aNow, aEffects);
   }
   void OnPeer(const QuotaGrant& aMessage, Time aNow, Effects& /*aEffects*/)
   {
+    this->quota.NoteHeard(aNow);
     this->quota.Receive(aMessage, aNow);
   }
   /// Messages of the core that routes by service.
@@ -239,7 +248,7 @@
                "version=" + std::to_string(aConfiguration.Version()) +
                  " before=" + std::to_string(before) + " source=" + aSource);
     this->quota.Configure(*this->configuration.Table(), aNow);
-    this->quota.SetMembers(this->membership.Members(), this->registeredNodes, aNow);
+    this->quota.SetMembers(this->membership.Members(), aNow);
     this->membership.SetConfigOffset(this->configuration.Version());
   }
 
@@ -280,7 +289,7 @@
       return;
     }
     this->seenChanges = this->membership.Changes();
-    this->quota.SetMembers(this->membership.Members(), this->registeredNodes, aNow);
+    this->quota.SetMembers(this->membership.Members(), aNow);
     this->budget.SetNodes(this->membership.Members().size());
   }
 
@@ -348,7 +357,6 @@
   Phase phase = Phase::kBooting;
   Time startedAt{};
   std::uint64_t seenChanges = 0;
-  std::size_t registeredNodes = 0;
 };
 
 MeshCore::MeshCore(Options aOptions)
--- a/packages/decisions/mesh/quota_pool.cc
+++ b/packages/decisions/mesh/quota_pool.cc
@@ -18,10 +18,14 @@
 constexpr Duration kSilence = std::chrono::milliseconds(500);
 /// Mean of demand over about this time.
 constexpr double kDemandSeconds = 2;
-/// Part of the quota, per node, that is used without a keeper.
-constexpr double kReservePart = 0.5;
-/// Nodes to assume while the store has not named any: the size of today's deployments.
-constexpr std::size_t kAssumedNodes = 16;
+/// Part of the quota that all nodes use together while the former keeper may still grant the whole
+/// of it behind a cut, each its own part: by itself, or from the node that takes the keeper's
+/// place. An organisation that uses its quota up has no burst saved, so that this and the tolerance
+/// of quotas cover it.
+constexpr double kReservePart = 0.3;
+/// Time after a change of keepers in which only that part is granted: longer than the probes need
+/// to find the other side of a cut, after which FleetShare divides the quota.
+constexpr Duration kTakeover = std::chrono::seconds(5);
 
 double
 Seconds(Duration aTime)
@@ -81,42 +85,44 @@
 }
 
 void
-QuotaPool::SetMembers(const Members& aMembers, std::size_t aExpectedNodes, Time aNow)
+QuotaPool::SetMembers(const Members& aMembers, Time aNow)
 {
-  this->liveNodes = 0;
-  for (const Members::value_type& entry : aMembers) {
-    if (entry.second.State() == NodeState::kAlive || entry.second.State() == NodeState::kSuspect) {
-      ++this->liveNodes;
+  this->fleet.Update(aMembers, aNow);
+  this->ChooseKeepers(aMembers, aNow);
+}
+
+PeerAddress
+QuotaPool::BestKeeper(const std::string& aOrganisation, const Members& aMembers) const
+{
+  PeerAddress best = this->self;
+  std::uint64_t bestWeight = Weight(aOrganisation, this->self.Node());
+  for (const Members::value_type& member : aMembers) {
+    // A suspect keeps nothing: its draws would go unanswered for as long as the suspicion lasts.
+    const bool lives = member.second.State() == NodeState::kAlive;
+    const std::uint64_t weight = Weight(aOrganisation, member.first);
+    if (lives && weight > bestWeight) {
+      best = member.second.Address();
+      bestWeight = weight;
     }
   }
-  this->expectedNodes = std::max({ this->liveNodes, aExpectedNodes, std::size_t{ 1 } });
-  if (aExpectedNodes == 0) {
-    this->expectedNodes = std::max(this->expectedNodes, kAssumedNodes);
-  }
-  this->ChooseKeepers(aMembers, aNow);
+  return best;
 }
 
 void
 QuotaPool::ChooseKeepers(const Members& aMembers, Time aNow)
 {
   for (std::pair<const std::string, Account>& entry : this->accounts) {
-    PeerAddress best = this->self;
-    std::uint64_t bestWeight = Weight(entry.first, this->self.Node());
-    for (const Members::value_type& member : aMembers) {
-      // A suspect keeps nothing: its draws would go unanswered for as long as the suspicion lasts.
-      const bool lives = member.second.State() == NodeState::kAlive;
-      const std::uint64_t weight = Weight(entry.first, member.first);
-      if (lives && weight > bestWeight) {
-        best = member.second.Address();
-        bestWeight = weight;
-      }
-    }
     Account& account = entry.second;
+    const PeerAddress best = this->BestKeeper(entry.first, aMembers);
     if (best == account.keeper) {
       continue;
     }
     if (best == this->self) {
       account.bucket = Bucket{ 0, aNow };
+      const Members::const_iterator before = aMembers.find(account.keeper.Node());
+      const bool signedOff =
+        before != aMembers.end() && before->second.State() == NodeState::kLeaving;
+      account.heldUntil = signedOff ? aNow : aNow + kTakeover;
     }
     account.keeper = best;
   }
@@ -150,19 +156,29 @@
 QuotaPool::TakeReserve(Account& aAccount, Time aNow) const
 {
   // Alone after a start of the whole fleet every node has only its reserve, so it may be whole.
-  const double part = this->IsAlone() ? 1.0 : kReservePart;
-  const double share = part / static_cast<double>(this->expectedNodes);
+  const double part = this->fleet.IsAlone(aNow) ? 1.0 : kReservePart;
+  const double share = part / static_cast<double>(this->fleet.Expected());
   Fill(aAccount.reserve, aAccount.rate * share, std::max(aAccount.burst * share, 1.0), aNow);
   return TakeOne(aAccount.reserve);
 }
 
+void
+QuotaPool::FillOwn(Account& aAccount, Time aNow) const
+{
+  const double held = aNow < aAccount.heldUntil ? kReservePart : 1.0;
+  const double part = this->fleet.Share() * held;
+  Fill(aAccount.bucket, aAccount.rate * part, std::max(aAccount.burst, 1.0), aNow);
+}
+
 bool
-QuotaPool::TakeOwn(Account& aAccount, Time aNow)
+QuotaPool::TakeOwn(Account& aAccount, Time aNow) const
 {
-  if (this->IsAlone()) {
+  if (this->fleet.IsAlone(aNow)) {
+    // What fills meanwhile is not this node's: after a cut every node would bring a whole burst.
+    aAccount.bucket = Bucket{ 0, aNow };
     return this->TakeReserve(aAccount, aNow);
   }
-  Fill(aAccount.bucket, aAccount.rate, std::max(aAccount.burst, 1.0), aNow);
+  this->FillOwn(aAccount, aNow);
   return TakeOne(aAccount.bucket);
 }
 
@@ -266,7 +282,7 @@
     std::uint32_t granted = 0;
     if (found != this->accounts.end() && this->IsKeeper(found->second)) {
       Account& account = found->second;
-      Fill(account.bucket, account.rate, std::max(account.burst, 1.0), aNow);
+      this->FillOwn(account, aNow);
       const double whole = std::floor(account.bucket.tokens);
       granted = static_cast<std::uint32_t>(std::min<double>(whole, demand.Want()));
       account.bucket.tokens -= granted;
--- a/packages/decisions/mesh/quota_pool.h
+++ b/packages/decisions/mesh/quota_pool.h
@@ -11,10 +11,10 @@
 // at a time for organisations that send much. Tokens are conserved: the keeper takes them from its
 // bucket before it grants them; a lost grant loses them.
 //
-// A new keeper starts with an empty bucket, so that a change of keepers grants no second burst. A
-// node that does not reach a keeper lives on a small part of its own, which the unused burst
-// covers: in a partition the sum stays within the bound. A wait ends after kDrawTimeout in any
-// case.
+// A new keeper starts with an empty bucket, so that a change of keepers grants no second burst. In
+// a cut every part of the fleet has a keeper of its own, whose bucket fills with that part's share
+// of the rate (FleetShare); a node that does not reach its keeper lives on a small part of its own,
+// which the unused burst covers. A wait ends after kDrawTimeout in any case.
 //
 // One draw at a time goes to each keeper and asks for all organisations, so control traffic grows
 // with the number of keepers in use and not with the request rate.
@@ -25,10 +25,13 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "decisions/effects.h"
+#include "decisions/mesh/fleet_share.h"
 #include "decisions/mesh/route_table.h"
 #include "util/clock.h"
 #include "values/generated/peer.h"
@@ -59,8 +62,12 @@
   explicit QuotaPool(PeerAddress aSelf);
 
   void Configure(const RouteTable& aTable, Time aNow);
-  /// aExpectedNodes: nodes that have registered in the store, ended ones among them.
-  void SetMembers(const Members& aMembers, std::size_t aExpectedNodes, Time aNow);
+  void SetMembers(const Members& aMembers, Time aNow);
+  /// Nodes that have registered in the store, this one included.
+  void SetRegistered(std::set<std::string> aNodes) { this->fleet.SetRegistered(std::move(aNodes)); }
+
+  /// A membership message of another node arrived.
+  void NoteHeard(Time aNow) { this->fleet.NoteHeard(aNow); }
 
   Verdict Request(std::uint64_t aExchange, const std::string& aOrganisation, Time aNow);
   /// The request was refused without running: the token may be used again.
@@ -96,6 +103,8 @@
     PeerAddress keeper;
     /// Bucket of the organisation, used while this node is its keeper.
     Bucket bucket;
+    /// Until then this node, which has become the keeper, grants only a part.
+    Time heldUntil{};
     /// Part that this node uses while it does not reach the keeper.
     Bucket reserve;
     /// Tokens that were drawn and not used yet.
@@ -116,22 +125,20 @@
   };
 
   bool IsKeeper(const Account& aAccount) const;
-  /// Whether this node knows no other live one: it has just started, or the others are out of
-  /// reach.
-  bool IsAlone() const { return this->liveNodes <= 1; }
+  void FillOwn(Account& aAccount, Time aNow) const;
   static void Fill(Bucket& aBucket, double aRate, double aCapacity, Time aNow);
   static bool TakeOne(Bucket& aBucket);
   bool TakeReserve(Account& aAccount, Time aNow) const;
-  bool TakeOwn(Account& aAccount, Time aNow);
+  bool TakeOwn(Account& aAccount, Time aNow) const;
   static void NoteDemand(Account& aAccount, Time aNow);
   static std::uint32_t WantOf(const Account& aAccount);
   void Draw(Channel& aChannel, Time aNow, Effects& aEffects);
   void ServeWaiters(Account& aAccount);
+  PeerAddress BestKeeper(const std::string& aOrganisation, const Members& aMembers) const;
   void ChooseKeepers(const Members& aMembers, Time aNow);
 
   PeerAddress self;
-  std::size_t liveNodes = 1;
-  std::size_t expectedNodes = 1;
+  FleetShare fleet;
   std::map<std::string, Account> accounts;
   std::map<std::string, Channel> channels;
   std::map<std::uint64_t, std::string> waitingFor;
--- a/packages/decisions/tests/fake_mesh.cc
+++ b/packages/decisions/tests/fake_mesh.cc
@@ -355,7 +355,11 @@
 bool
 FakeMesh::Reachable(const std::string& aFrom, const std::string& aTo) const
 {
-  return aFrom == aTo || (!this->cut.contains(aFrom) && !this->cut.contains(aTo));
+  if (aFrom == aTo) {
+    return true;
+  }
+  return !this->cut.contains(aFrom) && !this->cut.contains(aTo) &&
+         this->side.contains(aFrom) == this->side.contains(aTo);
 }
 
 Duration
--- a/packages/decisions/tests/fake_mesh.h
+++ b/packages/decisions/tests/fake_mesh.h
@@ -95,6 +95,8 @@
   void Restart(const std::string& aNode);
   /// No message passes between a cut node and any other node.
   void Cut(const std::string& aNode, bool aCut);
+  /// No message passes between these nodes and the others; an empty set ends the split.
+  void Split(std::set<std::string> aNodes) { this->side = std::move(aNodes); }
   void Drain(const std::string& aNode) { this->Give(aNode, DrainRequested()); }
 
   /// The store shows the configuration to all nodes, or to some.
@@ -163,6 +165,7 @@
   std::map<std::string, std::unique_ptr<Node>> nodes;
   std::map<std::string, Work> work;
   std::set<std::string> cut;
+  std::set<std::string> side;
   std::vector<NodeAnnounced> registered;
   std::map<std::uint64_t, Answer> answers;
   std::map<std::uint64_t, std::pair<std::string, std::uint64_t>> places;
--- a/packages/decisions/tests/mesh_core_test.cc
+++ b/packages/decisions/tests/mesh_core_test.cc
@@ -8,6 +8,7 @@
 #include <gtest/gtest.h>
 
 #include "decisions/tests/fake_mesh.h"
+#include "decisions/tests/mesh_scenario.h"
 #include "decisions/tests/test_seed.h"
 #include "util/random.h"
 
@@ -17,65 +18,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-struct RouteSpec
-{
-  const char* prefix;
-  const char* service;
-  RouteKind kind = RouteKind::kIdempotent;
-  std::uint32_t priority = 2;
-  Duration timeout = seconds(2);
-};
-
-MeshRoute
-MakeRoute(const char* aHost, const RouteSpec& aSpec, bool aOpen)
-{
-  return MeshRoute({ .name = std::string(aSpec.prefix),
-                     .host = aHost,
-                     .prefix = aSpec.prefix,
-                     .kind = aSpec.kind,
-                     .maxAttempts = 2,
-                     .timeout = aSpec.timeout,
-                     .objective = seconds(1),
-                     .priority = aSpec.priority,
-                     .open = aOpen,
-                     .parts = { SplitPart({ .service = aSpec.service, .weight = 1 }) } });
-}
-
-MeshConfiguration
-MakeConfiguration(std::uint64_t aVersion, const std::vector<std::string>& aKeys = { "north-key" })
-{
-  return MeshConfiguration(
-    { .version = aVersion,
-      .services = { "fleet", "hires", "fuel" },
-      .routes = { MakeRoute("api", { .prefix = "/fleet/", .service = "fleet" }, false),
-                  MakeRoute("api",
-                            { .prefix = "/book/",
-                              .service = "hires",
-                              .kind = RouteKind::kNonIdempotent,
-                              .priority = 0 },
-                            false),
-                  MakeRoute(
-                    "inner",
-                    { .prefix = "/tariff/", .service = "fuel", .timeout = milliseconds(300) },
-                    true) },
-      .organisations = {
-        MeshOrganisation({ .name = "north", .keyHashes = aKeys, .rate = 1000, .burst = 1000 }) } });
-}
-
-/// Two hosts of each of fleet and hires and one of fuel, configured and acquainted.
-void
-StartFleet(FakeMesh& aMesh)
-{
-  aMesh.AddHost({ "a1", "ikeja", "lagos", "fleet" });
-  aMesh.AddHost({ "a2", "ikeja", "lagos", "hires" });
-  aMesh.AddHost({ "b1", "sharada", "kano", "fleet" });
-  aMesh.AddHost({ "b2", "sharada", "kano", "hires" });
-  aMesh.AddHost({ "b3", "sharada", "kano", "fuel" });
-  aMesh.Advance(seconds(1));
-  aMesh.Configure(MakeConfiguration(1));
-  aMesh.Advance(seconds(4));
-}
-
 TEST(MeshCore, ServesRequestsForTheirOrganisation)
 {
   FakeMesh mesh(1);
