--- a/packages/decisions/mesh/fleet_share.cc
+++ b/packages/decisions/mesh/fleet_share.cc
@@ -22,13 +22,16 @@
     case NodeState::kAlive:
     case NodeState::kSuspect:
       this->departed.erase(node);
-      this->deadSince.erase(node);
+      if (this->deadSince.erase(node) > 0) {
+        this->backSince[node] = aNow;
+      }
       break;
     case NodeState::kLeaving:
       this->departed.insert(node);
       break;
     case NodeState::kDead:
       this->deadSince.try_emplace(node, aNow);
+      this->backSince.erase(node);
       break;
   }
 }
@@ -61,6 +64,10 @@
   std::erase_if(this->deadSince, [&known](const std::pair<const std::string, Time>& aEntry) {
     return !known.contains(aEntry.first);
   });
+  std::erase_if(this->backSince, [aNow](const std::pair<const std::string, Time>& aEntry) {
+    return aNow - aEntry.second >= kMergeTime;
+  });
+  this->hadCompany = this->hadCompany || this->live > 1;
   const std::size_t counted = static_cast<std::size_t>(
     std::count_if(known.begin(), known.end(), [this, aNow](const std::string& aNode) {
       return this->IsExpected(aNode, aNow);
@@ -70,10 +77,17 @@
 }
 
 double
-FleetShare::Share() const
+FleetShare::Share(Time aNow) const
 {
-  const double part = static_cast<double>(this->live) / static_cast<double>(this->expected);
-  const bool majority = this->live * 2 > this->expected;
+  const std::size_t back = static_cast<std::size_t>(
+    std::count_if(this->backSince.begin(),
+                  this->backSince.end(),
+                  [aNow](const std::pair<const std::string, Time>& aEntry) {
+                    return aNow - aEntry.second < kMergeTime;
+                  }));
+  const std::size_t seen = std::max<std::size_t>(this->live - std::min(this->live, back), 1);
+  const double part = static_cast<double>(seen) / static_cast<double>(this->expected);
+  const bool majority = seen * 2 > this->expected;
   return std::min(1.0, majority ? part + kMajorityExcess : part);
 }
 
--- a/packages/decisions/mesh/fleet_share.h
+++ b/packages/decisions/mesh/fleet_share.h
@@ -28,6 +28,8 @@
 
   /// Nodes are expected for this long after they fell silent: longer than cuts usually last.
   static constexpr Duration kCutTime = std::chrono::seconds(30);
+  /// Time for the end of a cut to become known everywhere: a few periods of the probes.
+  static constexpr Duration kMergeTime = std::chrono::seconds(3);
   /// Longest time without a message while others are in reach: about two periods of the probes.
   static constexpr Duration kSilence = std::chrono::milliseconds(2500);
 
@@ -43,8 +45,12 @@
   /// Nodes of the whole fleet, those behind a cut included.
   std::size_t Expected() const { return this->expected; }
   /// Part of a fleet-wide quota that the nodes that see each other may use together. Suspects do
-  /// not count: while a cut is being noticed most of them are on its other side.
-  double Share() const;
+  /// not count: while a cut is being noticed most of them are on its other side. Nor do nodes that
+  /// have just come back from the dead: after a cut both sides' keepers act until all have heard of
+  /// its end.
+  double Share(Time aNow) const;
+  /// Whether this node has ever seen another one.
+  bool HadCompany() const { return this->hadCompany; }
 
 private:
   void NoteState(const Member& aMember, Time aNow);
@@ -54,6 +60,9 @@
   /// Nodes that signed off.
   std::set<std::string> departed;
   std::map<std::string, Time> deadSince;
+  /// Nodes that came back from the dead, and when.
+  std::map<std::string, Time> backSince;
+  bool hadCompany = false;
   Time heardAt{};
   std::size_t live = 1;
   std::size_t expected = 1;
--- a/packages/decisions/mesh/quota_pool.cc
+++ b/packages/decisions/mesh/quota_pool.cc
@@ -16,15 +16,18 @@
 constexpr Duration kDrawnLife = std::chrono::seconds(2);
 /// After a draw without an answer the reserve is used for this long before the next draw.
 constexpr Duration kSilence = std::chrono::milliseconds(500);
+/// Credit is void when the keeper has not answered a report for this long.
+constexpr Duration kCreditLife = std::chrono::seconds(5);
+/// Time without draws after the keeper had no token left: a hot organisation would draw for every
+/// request that it is refused.
+constexpr Duration kEmptyTime = std::chrono::milliseconds(100);
 /// Mean of demand over about this time.
 constexpr double kDemandSeconds = 2;
-/// Part of the quota that all nodes use together while the former keeper may still grant the whole
-/// of it behind a cut, each its own part: by itself, or from the node that takes the keeper's
-/// place. An organisation that uses its quota up has no burst saved, so that this and the tolerance
-/// of quotas cover it.
+/// Part of the quota that all nodes use together while they do not reach a keeper that may still
+/// grant the whole of it.
 constexpr double kReservePart = 0.3;
-/// Time after a change of keepers in which only that part is granted: longer than the probes need
-/// to find the other side of a cut, after which FleetShare divides the quota.
+/// Time after a change of keepers in which the new one grants a part only: longer than the probes
+/// need to find the other side of a cut, after which FleetShare divides the quota.
 constexpr Duration kTakeover = std::chrono::seconds(5);
 
 double
@@ -33,20 +36,34 @@
   return std::chrono::duration<double>(aTime).count();
 }
 
+/// FNV mixes its last bytes badly; the multiplication spreads them.
 std::uint64_t
-Weight(const std::string& aOrganisation, const std::string& aNode)
+Spread(const StableHash& aHash)
 {
-  StableHash hash;
-  hash.Add(aNode);
-  hash.Add("/");
-  hash.Add(aOrganisation);
-  // FNV mixes its last bytes badly; the multiplication spreads them.
   constexpr std::uint64_t kSpread = 0x9E3779B97F4A7C15ULL;
   constexpr unsigned kHalf = 32;
-  const std::uint64_t value = hash.Value() * kSpread;
+  const std::uint64_t value = aHash.Value() * kSpread;
   return value ^ (value >> kHalf);
 }
 
+std::size_t
+GroupOf(const std::string& aOrganisation)
+{
+  StableHash hash;
+  hash.Add(aOrganisation);
+  return Spread(hash) % QuotaPool::kKeepers;
+}
+
+std::uint64_t
+Weight(std::size_t aGroup, const std::string& aNode)
+{
+  StableHash hash;
+  hash.Add(aNode);
+  hash.Add("/");
+  hash.Add(std::to_string(aGroup));
+  return Spread(hash);
+}
+
 } // namespace
 
 QuotaPool::QuotaPool(PeerAddress aSelf)
@@ -63,23 +80,20 @@
     const auto old = this->accounts.find(organisation.Name());
     if (old != this->accounts.end()) {
       account = std::move(old->second);
+      this->accounts.erase(old);
     } else {
+      account.group = GroupOf(organisation.Name());
       account.keeper = this->self;
-      account.bucket.filledAt = aNow;
+      account.bucket.Restart(aNow, aNow);
       account.reserve.filledAt = aNow;
     }
     account.rate = organisation.Rate();
     account.burst = organisation.Burst();
-    account.bucket.tokens = std::min(account.bucket.tokens, account.burst);
+    account.bucket.Configure(account.rate, account.burst);
     next.emplace(organisation.Name(), std::move(account));
   }
-  for (std::pair<const std::string, Account>& entry : this->accounts) {
-    if (!next.contains(entry.first)) {
-      for (const Waiter& waiter : entry.second.waiters) {
-        this->decisions.push_back({ waiter.exchange, false });
-        this->waitingFor.erase(waiter.exchange);
-      }
-    }
+  for (std::pair<const std::string, Account>& dropped : this->accounts) {
+    this->RefuseWaiters(dropped.second);
   }
   this->accounts = std::move(next);
 }
@@ -91,18 +105,20 @@
   this->ChooseKeepers(aMembers, aNow);
 }
 
-PeerAddress
-QuotaPool::BestKeeper(const std::string& aOrganisation, const Members& aMembers) const
+std::vector<PeerAddress>
+QuotaPool::BestKeepers(const Members& aMembers) const
 {
-  PeerAddress best = this->self;
-  std::uint64_t bestWeight = Weight(aOrganisation, this->self.Node());
-  for (const Members::value_type& member : aMembers) {
-    // A suspect keeps nothing: its draws would go unanswered for as long as the suspicion lasts.
-    const bool lives = member.second.State() == NodeState::kAlive;
-    const std::uint64_t weight = Weight(aOrganisation, member.first);
-    if (lives && weight > bestWeight) {
-      best = member.second.Address();
-      bestWeight = weight;
+  std::vector<PeerAddress> best(kKeepers, this->self);
+  for (std::size_t group = 0; group < kKeepers; ++group) {
+    std::uint64_t bestWeight = Weight(group, this->self.Node());
+    for (const Members::value_type& member : aMembers) {
+      // A suspect keeps nothing: its draws would go unanswered for as long as the suspicion lasts.
+      const bool lives = member.second.State() == NodeState::kAlive;
+      const std::uint64_t weight = lives ? Weight(group, member.first) : 0;
+      if (lives && weight > bestWeight) {
+        best[group] = member.second.Address();
+        bestWeight = weight;
+      }
     }
   }
   return best;
@@ -111,20 +127,23 @@
 void
 QuotaPool::ChooseKeepers(const Members& aMembers, Time aNow)
 {
+  const std::vector<PeerAddress> best = this->BestKeepers(aMembers);
   for (std::pair<const std::string, Account>& entry : this->accounts) {
     Account& account = entry.second;
-    const PeerAddress best = this->BestKeeper(entry.first, aMembers);
-    if (best == account.keeper) {
+    const PeerAddress& keeper = best[account.group];
+    if (keeper == account.keeper) {
       continue;
     }
-    if (best == this->self) {
-      account.bucket = Bucket{ 0, aNow };
+    if (keeper == this->self) {
       const Members::const_iterator before = aMembers.find(account.keeper.Node());
       const bool signedOff =
         before != aMembers.end() && before->second.State() == NodeState::kLeaving;
-      account.heldUntil = signedOff ? aNow : aNow + kTakeover;
+      account.bucket.Restart(aNow, signedOff ? aNow : aNow + kTakeover);
     }
-    account.keeper = best;
+    account.keeper = keeper;
+    account.creditUntil = Time{};
+    account.emptyUntil = Time{};
+    account.unreported += std::exchange(account.reporting, 0);
   }
 }
 
@@ -134,40 +153,28 @@
   return aAccount.keeper == this->self;
 }
 
-void
-QuotaPool::Fill(Bucket& aBucket, double aRate, double aCapacity, Time aNow)
-{
-  const double added = aRate * Seconds(std::max(aNow - aBucket.filledAt, Duration::zero()));
-  aBucket.tokens = std::min(aCapacity, aBucket.tokens + added);
-  aBucket.filledAt = aNow;
-}
-
-bool
-QuotaPool::TakeOne(Bucket& aBucket)
-{
-  if (aBucket.tokens < 1.0) {
-    return false;
-  }
-  aBucket.tokens -= 1.0;
-  return true;
-}
-
 bool
 QuotaPool::TakeReserve(Account& aAccount, Time aNow) const
 {
   // Alone after a start of the whole fleet every node has only its reserve, so it may be whole.
   const double part = this->fleet.IsAlone(aNow) ? 1.0 : kReservePart;
   const double share = part / static_cast<double>(this->fleet.Expected());
-  Fill(aAccount.reserve, aAccount.rate * share, std::max(aAccount.burst * share, 1.0), aNow);
-  return TakeOne(aAccount.reserve);
+  Reserve& reserve = aAccount.reserve;
+  const double passed = Seconds(std::max(aNow - reserve.filledAt, Duration::zero()));
+  reserve.tokens = std::min(std::max(aAccount.burst * share, 1.0),
+                            reserve.tokens + aAccount.rate * share * passed);
+  reserve.filledAt = aNow;
+  if (reserve.tokens < 1.0) {
+    return false;
+  }
+  reserve.tokens -= 1.0;
+  return true;
 }
 
 void
-QuotaPool::FillOwn(Account& aAccount, Time aNow) const
+QuotaPool::Fill(Account& aAccount, Time aNow) const
 {
-  const double held = aNow < aAccount.heldUntil ? kReservePart : 1.0;
-  const double part = this->fleet.Share() * held;
-  Fill(aAccount.bucket, aAccount.rate * part, std::max(aAccount.burst, 1.0), aNow);
+  aAccount.bucket.Fill(this->fleet.Share(aNow), aNow);
 }
 
 bool
@@ -175,11 +182,25 @@
 {
   if (this->fleet.IsAlone(aNow)) {
     // What fills meanwhile is not this node's: after a cut every node would bring a whole burst.
-    aAccount.bucket = Bucket{ 0, aNow };
+    // And when the cut ends, another keeper acts until all have heard of it.
+    aAccount.bucket.Restart(aNow, this->fleet.HadCompany() ? aNow + kTakeover : aNow);
     return this->TakeReserve(aAccount, aNow);
   }
-  this->FillOwn(aAccount, aNow);
-  return TakeOne(aAccount.bucket);
+  this->Fill(aAccount, aNow);
+  return aAccount.bucket.Grant(1, aNow) > 0;
+}
+
+bool
+QuotaPool::TakeCredit(Account& aAccount, Time aNow)
+{
+  if (aNow >= aAccount.creditUntil || aAccount.unreported + aAccount.reporting >= aAccount.credit) {
+    return false;
+  }
+  ++aAccount.unreported;
+  Channel& channel = this->ChannelTo(aAccount.keeper);
+  const bool usedUp = aAccount.unreported + aAccount.reporting >= aAccount.credit;
+  channel.reportAt = std::min(channel.reportAt, usedUp ? aNow : aNow + kReportInterval);
+  return true;
 }
 
 void
@@ -191,6 +212,14 @@
   aAccount.demandAt = aNow;
 }
 
+QuotaPool::Channel&
+QuotaPool::ChannelTo(const PeerAddress& aKeeper)
+{
+  Channel& channel = this->channels[aKeeper.Node()];
+  channel.keeper = aKeeper;
+  return channel;
+}
+
 QuotaPool::Verdict
 QuotaPool::Request(std::uint64_t aExchange, const std::string& aOrganisation, Time aNow)
 {
@@ -207,10 +236,15 @@
     account.drawn -= 1.0;
     return Verdict::kTaken;
   }
-  const auto channel = this->channels.find(account.keeper.Node());
-  if (channel != this->channels.end() && channel->second.silentUntil > aNow) {
+  if (this->TakeCredit(account, aNow)) {
+    return Verdict::kTaken;
+  }
+  if (this->ChannelTo(account.keeper).silentUntil > aNow) {
     return this->TakeReserve(account, aNow) ? Verdict::kTaken : Verdict::kRefused;
   }
+  if (account.emptyUntil > aNow) {
+    return Verdict::kRefused;
+  }
   account.waiters.push_back({ aExchange, aNow + kDrawTimeout });
   this->waitingFor.emplace(aExchange, aOrganisation);
   return Verdict::kWaiting;
@@ -225,7 +259,9 @@
   }
   Account& account = found->second;
   if (this->IsKeeper(account)) {
-    account.bucket.tokens = std::min(account.bucket.tokens + 1.0, account.burst);
+    account.bucket.Return();
+  } else if (account.unreported > 0) {
+    --account.unreported;
   } else {
     account.drawn += 1.0;
   }
@@ -249,6 +285,9 @@
 std::uint32_t
 QuotaPool::WantOf(const Account& aAccount)
 {
+  if (aAccount.waiters.empty()) {
+    return 0;
+  }
   const double ahead = std::floor(aAccount.demand * kDrawAheadSeconds);
   return static_cast<std::uint32_t>(static_cast<double>(aAccount.waiters.size()) + ahead);
 }
@@ -256,43 +295,56 @@
 void
 QuotaPool::Draw(Channel& aChannel, Time aNow, Effects& aEffects)
 {
-  std::vector<TokenDemand> demands;
-  for (const std::pair<const std::string, Account>& entry : this->accounts) {
-    const Account& account = entry.second;
-    if (account.keeper == aChannel.keeper && !account.waiters.empty()) {
-      demands.push_back(TokenDemand({ .organisation = entry.first, .want = WantOf(account) }));
+  std::vector<QuotaUse> uses;
+  for (std::pair<const std::string, Account>& entry : this->accounts) {
+    Account& account = entry.second;
+    if (account.keeper != aChannel.keeper || (account.waiters.empty() && account.unreported == 0)) {
+      continue;
     }
+    uses.push_back(QuotaUse(
+      { .organisation = entry.first, .used = account.unreported, .want = WantOf(account) }));
+    account.reporting = std::exchange(account.unreported, 0);
   }
-  if (demands.empty()) {
+  aChannel.reportAt = Time::max();
+  if (uses.empty()) {
     return;
   }
   aChannel.answerDue = aNow + kDrawTimeout;
-  aEffects.push_back(SendPeer({ .to = aChannel.keeper,
-                                .message = QuotaDraw({ .sender = this->self,
-                                                       .sequence = ++aChannel.sequence,
-                                                       .demands = std::move(demands) }) }));
+  aEffects.push_back(SendPeer(
+    { .to = aChannel.keeper,
+      .message = QuotaDraw(
+        { .sender = this->self, .sequence = ++aChannel.sequence, .uses = std::move(uses) }) }));
+}
+
+QuotaAllowance
+QuotaPool::Answer(const QuotaUse& aUse, Time aNow)
+{
+  const std::string& organisation = aUse.GetOrganisation();
+  const auto found = this->accounts.find(organisation);
+  if (found == this->accounts.end() || !this->IsKeeper(found->second)) {
+    return QuotaAllowance({ .organisation = organisation });
+  }
+  this->Fill(found->second, aNow);
+  QuotaBucket& bucket = found->second.bucket;
+  bucket.Deduct(aUse.Used(), aNow);
+  const std::uint32_t tokens = bucket.Grant(aUse.Want(), aNow);
+  return QuotaAllowance({ .organisation = organisation,
+                          .tokens = tokens,
+                          .credit = bucket.CreditPerNode(this->fleet.Expected(), aNow) });
 }
 
 void
 QuotaPool::Receive(const QuotaDraw& aDraw, Time aNow, Effects& aEffects)
 {
-  std::vector<TokenDemand> grants;
-  for (const TokenDemand& demand : aDraw.Demands()) {
-    const auto found = this->accounts.find(demand.GetOrganisation());
-    std::uint32_t granted = 0;
-    if (found != this->accounts.end() && this->IsKeeper(found->second)) {
-      Account& account = found->second;
-      this->FillOwn(account, aNow);
-      const double whole = std::floor(account.bucket.tokens);
-      granted = static_cast<std::uint32_t>(std::min<double>(whole, demand.Want()));
-      account.bucket.tokens -= granted;
-    }
-    grants.push_back(TokenDemand({ .organisation = demand.GetOrganisation(), .want = granted }));
+  std::vector<QuotaAllowance> allowances;
+  allowances.reserve(aDraw.Uses().size());
+  for (const QuotaUse& use : aDraw.Uses()) {
+    allowances.push_back(this->Answer(use, aNow));
   }
   aEffects.push_back(SendPeer({ .to = aDraw.Sender(),
                                 .message = QuotaGrant({ .sender = this->self.Node(),
                                                         .sequence = aDraw.Sequence(),
-                                                        .grants = std::move(grants) }) }));
+                                                        .allowances = std::move(allowances) }) }));
 }
 
 void
@@ -304,27 +356,30 @@
   }
   channel->second.answerDue = Time::max();
   channel->second.silentUntil = Time{};
-  for (const TokenDemand& grant : aGrant.Grants()) {
-    const auto found = this->accounts.find(grant.GetOrganisation());
-    if (found == this->accounts.end()) {
-      continue;
-    }
-    Account& account = found->second;
-    if (aNow - account.drawnAt >= kDrawnLife) {
-      account.drawn = 0;
-    }
-    account.drawn += grant.Want();
-    account.drawnAt = aNow;
-    this->ServeWaiters(account);
-    if (grant.Want() > 0) {
-      continue;
+  for (const QuotaAllowance& allowance : aGrant.Allowances()) {
+    const auto found = this->accounts.find(allowance.GetOrganisation());
+    if (found != this->accounts.end()) {
+      this->Take(found->second, allowance, aNow);
     }
+  }
+}
+
+void
+QuotaPool::Take(Account& aAccount, const QuotaAllowance& aAllowance, Time aNow)
+{
+  aAccount.reporting = 0;
+  aAccount.credit = aAllowance.Credit();
+  aAccount.creditUntil = aNow + kCreditLife;
+  if (aNow - aAccount.drawnAt >= kDrawnLife) {
+    aAccount.drawn = 0;
+  }
+  aAccount.drawn += aAllowance.Tokens();
+  aAccount.drawnAt = aNow;
+  this->ServeWaiters(aAccount);
+  if (aAllowance.Tokens() == 0 && aAllowance.Credit() == 0) {
     // The keeper has none left: those that wait are refused now, not at the end of their wait.
-    for (const Waiter& waiter : account.waiters) {
-      this->decisions.push_back({ waiter.exchange, false });
-      this->waitingFor.erase(waiter.exchange);
-    }
-    account.waiters.clear();
+    aAccount.emptyUntil = aNow + kEmptyTime;
+    this->RefuseWaiters(aAccount);
   }
 }
 
@@ -339,36 +394,66 @@
   }
 }
 
+void
+QuotaPool::RefuseWaiters(Account& aAccount)
+{
+  for (const Waiter& waiter : aAccount.waiters) {
+    this->decisions.push_back({ waiter.exchange, false });
+    this->waitingFor.erase(waiter.exchange);
+  }
+  aAccount.waiters.clear();
+}
+
+void
+QuotaPool::PollWaiters(Account& aAccount, Time aNow)
+{
+  const bool keeper = this->IsKeeper(aAccount);
+  while (!aAccount.waiters.empty() && (keeper || aAccount.waiters.front().until <= aNow)) {
+    const std::uint64_t exchange = aAccount.waiters.front().exchange;
+    const bool taken = keeper ? this->TakeOwn(aAccount, aNow) : this->TakeReserve(aAccount, aNow);
+    this->decisions.push_back({ exchange, taken });
+    this->waitingFor.erase(exchange);
+    aAccount.waiters.pop_front();
+  }
+}
+
+void
+QuotaPool::EndDraw(Channel& aChannel, Time aNow)
+{
+  aChannel.answerDue = Time::max();
+  aChannel.silentUntil = aNow + kSilence;
+  this->silentKeepers.push_back(aChannel.keeper.Node());
+  for (std::pair<const std::string, Account>& entry : this->accounts) {
+    Account& account = entry.second;
+    if (account.keeper == aChannel.keeper && account.reporting > 0) {
+      // Reported once more: a report that was lost must not make its requests free.
+      account.unreported += std::exchange(account.reporting, 0);
+      aChannel.reportAt = aChannel.silentUntil;
+    }
+  }
+}
+
 void
 QuotaPool::Poll(Time aNow, Effects& aEffects)
 {
   for (std::pair<const std::string, Account>& entry : this->accounts) {
     Account& account = entry.second;
-    while (!account.waiters.empty()) {
-      const Waiter waiter = account.waiters.front();
-      const bool keeper = this->IsKeeper(account);
-      if (!keeper && waiter.until > aNow) {
-        break;
-      }
-      const bool taken = keeper ? this->TakeOwn(account, aNow) : this->TakeReserve(account, aNow);
-      this->decisions.push_back({ waiter.exchange, taken });
-      this->waitingFor.erase(waiter.exchange);
-      account.waiters.pop_front();
+    this->PollWaiters(account, aNow);
+    if (this->IsKeeper(account) && account.unreported > 0) {
+      account.bucket.Deduct(std::exchange(account.unreported, 0), aNow);
     }
-    if (account.waiters.empty()) {
-      continue;
+    if (!account.waiters.empty()) {
+      Channel& channel = this->ChannelTo(account.keeper);
+      channel.reportAt = std::min(channel.reportAt, aNow);
     }
-    Channel& channel = this->channels[account.keeper.Node()];
-    channel.keeper = account.keeper;
   }
   for (std::pair<const std::string, Channel>& entry : this->channels) {
     Channel& channel = entry.second;
     if (channel.answerDue <= aNow) {
-      channel.answerDue = Time::max();
-      channel.silentUntil = aNow + kSilence;
-      this->silentKeepers.push_back(entry.first);
+      this->EndDraw(channel, aNow);
     }
-    if (channel.answerDue == Time::max() && channel.silentUntil <= aNow) {
+    if (channel.answerDue == Time::max() && channel.silentUntil <= aNow &&
+        channel.reportAt <= aNow) {
       this->Draw(channel, aNow, aEffects);
     }
   }
@@ -379,7 +464,11 @@
 {
   Time next = Time::max();
   for (const std::pair<const std::string, Channel>& entry : this->channels) {
-    next = std::min(next, entry.second.answerDue);
+    const Channel& channel = entry.second;
+    const Time report = channel.answerDue == Time::max() && channel.reportAt != Time::max()
+                          ? std::max(channel.reportAt, channel.silentUntil)
+                          : Time::max();
+    next = std::min({ next, channel.answerDue, report });
   }
   for (const std::pair<const std::string, Account>& entry : this->accounts) {
     if (!entry.second.waiters.empty()) {
--- a/packages/decisions/mesh/quota_pool.h
+++ b/packages/decisions/mesh/quota_pool.h
@@ -6,18 +6,18 @@
 //   pool.Poll(now, effects);                          // sends draws, ends waits
 //   for (const QuotaPool::Decision& decision : pool.TakeDecisions()) { ... }
 //
-// Each organisation's bucket is kept by one live node, chosen by rendezvous hashing, so that small
-// quotas are pooled and need no split. Other nodes draw tokens from it when they need some, a few
-// at a time for organisations that send much. Tokens are conserved: the keeper takes them from its
-// bucket before it grants them; a lost grant loses them.
+// Each organisation's bucket (QuotaBucket) is kept by one live node, chosen by rendezvous hashing,
+// so that small quotas are pooled and need no split. While an organisation stays far below its
+// quota, the other nodes let its requests in on credit and report them every kReportInterval; else
+// they draw tokens, a few at a time for organisations that send much. Tokens are conserved: the
+// keeper takes them from its bucket before it grants them; a lost grant loses them.
 //
-// A new keeper starts with an empty bucket, so that a change of keepers grants no second burst. In
-// a cut every part of the fleet has a keeper of its own, whose bucket fills with that part's share
-// of the rate (FleetShare); a node that does not reach its keeper lives on a small part of its own,
-// which the unused burst covers. A wait ends after kDrawTimeout in any case.
+// In a cut every part of the fleet has keepers of its own, whose buckets fill with that part's
+// share of the rate (FleetShare); a node that does not reach its keeper lives on a small part of
+// its own. A wait ends after kDrawTimeout in any case.
 //
-// One draw at a time goes to each keeper and asks for all organisations, so control traffic grows
-// with the number of keepers in use and not with the request rate.
+// All organisations share kKeepers keepers, and one draw at a time goes to each, so control traffic
+// does not grow with the request rate.
 #pragma once
 
 #include <cstddef>
@@ -32,6 +32,7 @@
 
 #include "decisions/effects.h"
 #include "decisions/mesh/fleet_share.h"
+#include "decisions/mesh/quota_bucket.h"
 #include "decisions/mesh/route_table.h"
 #include "util/clock.h"
 #include "values/generated/peer.h"
@@ -58,6 +59,10 @@
 
   /// Time that a request waits for a token; a draw over the link between regions takes 20 ms.
   static constexpr Duration kDrawTimeout = std::chrono::milliseconds(150);
+  /// Nodes that keep quotas at a time. More of them share the load of draws, fewer the reports.
+  static constexpr std::size_t kKeepers = 8;
+  /// Time until requests that were let in on credit are reported, unless the credit is used up.
+  static constexpr Duration kReportInterval = std::chrono::seconds(2);
 
   explicit QuotaPool(PeerAddress aSelf);
 
@@ -90,7 +95,8 @@
     Time until{};
   };
 
-  struct Bucket
+  /// Part that a node uses while it does not reach the keeper.
+  struct Reserve
   {
     double tokens = 0;
     Time filledAt{};
@@ -100,16 +106,22 @@
   {
     double rate = 0;
     double burst = 0;
+    std::size_t group = 0;
     PeerAddress keeper;
-    /// Bucket of the organisation, used while this node is its keeper.
-    Bucket bucket;
-    /// Until then this node, which has become the keeper, grants only a part.
-    Time heldUntil{};
-    /// Part that this node uses while it does not reach the keeper.
-    Bucket reserve;
+    /// Used while this node is the keeper.
+    QuotaBucket bucket;
+    Reserve reserve;
     /// Tokens that were drawn and not used yet.
     double drawn = 0;
     Time drawnAt{};
+    /// Requests that may be let in before they are reported, until creditUntil.
+    std::uint32_t credit = 0;
+    Time creditUntil{};
+    /// Requests that were let in on credit: not reported, and in a report under way.
+    std::uint32_t unreported = 0;
+    std::uint32_t reporting = 0;
+    /// The keeper had none left; no draw is made until then.
+    Time emptyUntil{};
     std::deque<Waiter> waiters;
     /// Requests per second here, and when the figure was last updated.
     double demand = 0;
@@ -122,19 +134,25 @@
     std::uint64_t sequence = 0;
     Time answerDue = Time::max();
     Time silentUntil{};
+    Time reportAt = Time::max();
   };
 
   bool IsKeeper(const Account& aAccount) const;
-  void FillOwn(Account& aAccount, Time aNow) const;
-  static void Fill(Bucket& aBucket, double aRate, double aCapacity, Time aNow);
-  static bool TakeOne(Bucket& aBucket);
+  void Fill(Account& aAccount, Time aNow) const;
   bool TakeReserve(Account& aAccount, Time aNow) const;
   bool TakeOwn(Account& aAccount, Time aNow) const;
+  bool TakeCredit(Account& aAccount, Time aNow);
   static void NoteDemand(Account& aAccount, Time aNow);
   static std::uint32_t WantOf(const Account& aAccount);
+  Channel& ChannelTo(const PeerAddress& aKeeper);
   void Draw(Channel& aChannel, Time aNow, Effects& aEffects);
+  QuotaAllowance Answer(const QuotaUse& aUse, Time aNow);
+  void Take(Account& aAccount, const QuotaAllowance& aAllowance, Time aNow);
+  void EndDraw(Channel& aChannel, Time aNow);
+  void PollWaiters(Account& aAccount, Time aNow);
   void ServeWaiters(Account& aAccount);
-  PeerAddress BestKeeper(const std::string& aOrganisation, const Members& aMembers) const;
+  void RefuseWaiters(Account& aAccount);
+  std::vector<PeerAddress> BestKeepers(const Members& aMembers) const;
   void ChooseKeepers(const Members& aMembers, Time aNow);
 
   PeerAddress self;
--- a/packages/decisions/tests/fake_mesh.cc
+++ b/packages/decisions/tests/fake_mesh.cc
@@ -327,6 +327,7 @@
     if (!this->mesh.nodes.contains(to) || !this->mesh.Reachable(this->node.host.node, to)) {
       return;
     }
+    this->mesh.draws += std::holds_alternative<QuotaDraw>(aOne.Message()) ? 1 : 0;
     this->mesh.After(this->mesh.Way(this->node, this->mesh.Of(to)),
                      [&mesh = this->mesh, to, message = aOne.Message()] {
                        mesh.Give(to, PeerReceived({ .message = message }));
--- a/packages/decisions/tests/fake_mesh.h
+++ b/packages/decisions/tests/fake_mesh.h
@@ -123,6 +123,8 @@
   std::size_t RunningAt(const std::string& aNode) const;
   Phase PhaseOf(const std::string& aNode) const;
   bool Drained(const std::string& aNode) const;
+  /// Messages by which nodes have drawn on a quota that another node keeps.
+  std::size_t Draws() const { return this->draws; }
   /// Log lines of all nodes, in order.
   const std::vector<std::string>& Lines() const { return this->lines; }
 
@@ -171,6 +173,7 @@
   std::map<std::uint64_t, std::pair<std::string, std::uint64_t>> places;
   std::vector<Run> runs;
   std::vector<std::string> lines;
+  std::size_t draws = 0;
   std::vector<Step> heap;
 };
 
--- a/packages/decisions/tests/mesh_quota_test.cc
+++ b/packages/decisions/tests/mesh_quota_test.cc
@@ -75,6 +75,43 @@
   EXPECT_LE(MostInAWindow(mesh), kMostPerWindow);
 }
 
+/// One request a second from every node in turn, far below the quota.
+void
+OfferLittle(FakeMesh& aMesh, int aCount)
+{
+  for (int index = 0; index < aCount; ++index) {
+    aMesh.Request(
+      kNodes[static_cast<std::size_t>(index) % kNodes.size()], "api", "/fleet/1", "north-key");
+    aMesh.Advance(milliseconds(125));
+  }
+}
+
+TEST(MeshQuota, AnOrganisationFarBelowItsQuotaNeedsNoDrawForEachRequest)
+{
+  // Guards against control traffic that grows with the requests: 8 a second of a quota of 40.
+  FakeMesh mesh(1);
+  StartServingFleet(mesh);
+  OfferLittle(mesh, 40);
+  const std::size_t before = mesh.Draws();
+  const std::size_t runs = mesh.Runs().size();
+  OfferLittle(mesh, 160);
+  EXPECT_EQ(mesh.Runs().size() - runs, 160U);
+  // Each of the seven other nodes reports every other second for 20 seconds.
+  EXPECT_LE(mesh.Draws() - before, 7U * 11);
+}
+
+TEST(MeshQuota, HoldsWhenEveryNodeUsesItsCreditAtOnce)
+{
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    SCOPED_TRACE(seed);
+    FakeMesh mesh(seed);
+    StartServingFleet(mesh);
+    OfferLittle(mesh, 60);
+    Offer(mesh, seconds(10));
+    EXPECT_LE(MostInAWindow(mesh), kMostPerWindow);
+  }
+}
+
 TEST(MeshQuota, HoldsInEveryKindOfCut)
 {
   struct Case
@@ -188,7 +225,7 @@
     FleetShare share;
     share.SetRegistered({ "n0", "n1", "n2", "n3" });
     share.Update(MakeMembers(testCase.states), Time(seconds(100)));
-    EXPECT_DOUBLE_EQ(share.Share(), testCase.share);
+    EXPECT_DOUBLE_EQ(share.Share(Time(seconds(100))), testCase.share);
   }
 }
 
@@ -208,6 +245,17 @@
   EXPECT_EQ(share.Expected(), 1U);
 }
 
+TEST(FleetShare, ANodeBackFromTheDeadCountsWhenAllHaveHeardOfIt)
+{
+  FleetShare share;
+  share.SetRegistered({ "n0", "n1" });
+  const Time start{ seconds(100) };
+  share.Update(MakeMembers({ NodeState::kAlive, NodeState::kDead }), start);
+  share.Update(MakeMembers({ NodeState::kAlive, NodeState::kAlive }), start + seconds(1));
+  EXPECT_DOUBLE_EQ(share.Share(start + seconds(2)), 0.5);
+  EXPECT_DOUBLE_EQ(share.Share(start + seconds(1) + FleetShare::kMergeTime), 1.0);
+}
+
 TEST(FleetShare, ANodeThatHearsNothingIsAlone)
 {
   FleetShare share;
--- a/packages/standins/common/http_server.cc
+++ b/packages/standins/common/http_server.cc
@@ -52,18 +52,24 @@
   const HttpMessage& Message() const override { return this->parser->get(); }
 
   void Answer(unsigned aStatus, std::string aBody) override
+  {
+    ServedAnswer answer;
+    answer.result(aStatus);
+    answer.set(http::field::content_type, "application/json");
+    answer.body() = std::move(aBody);
+    this->AnswerMessage(std::move(answer));
+  }
+
+  void AnswerMessage(ServedAnswer aAnswer) override
   {
     if (std::exchange(this->answered, true)) {
       return;
     }
     error_code ignored;
     this->socket.cancel(ignored); // Ends the watch for the client's close.
-    this->response = {};
+    this->response = std::move(aAnswer);
     this->response.version(11);
-    this->response.result(aStatus);
-    this->response.set(http::field::content_type, "application/json");
     this->response.keep_alive(this->Message().keep_alive());
-    this->response.body() = std::move(aBody);
     this->response.prepare_payload();
     this->serializer.emplace(this->response);
     http::async_write(
--- a/packages/standins/common/http_server.h
+++ b/packages/standins/common/http_server.h
@@ -25,6 +25,7 @@
 namespace jackdawwind::standins {
 
 using HttpMessage = boost::beast::http::request<boost::beast::http::string_body>;
+using ServedAnswer = boost::beast::http::response<boost::beast::http::string_body>;
 
 /// A request that waits for its answer.
 class ServedRequest
@@ -35,6 +36,8 @@
   virtual const HttpMessage& Message() const = 0;
   /// Sends a complete JSON answer; only the first call has an effect.
   virtual void Answer(unsigned aStatus, std::string aBody) = 0;
+  /// Sends a complete answer; only the first call has an effect.
+  virtual void AnswerMessage(ServedAnswer aAnswer) = 0;
   /// Sends bytes as they are and closes the connection; only the first answer has an effect.
   virtual void AnswerRaw(std::string aBytes) = 0;
   /// Closes the connection without an answer.
--- a/packages/standins/relay/main.cc
+++ b/packages/standins/relay/main.cc
@@ -53,7 +53,9 @@
   const boost::asio::ip::tcp::endpoint destination(
     boost::asio::ip::make_address(parsed["to-host"].as<std::string>()),
     parsed["to-port"].as<std::uint16_t>());
-  Relay relay(context, parsed["port"].as<std::uint16_t>(), destination);
+  const boost::asio::ip::tcp::endpoint listen(boost::asio::ip::address_v4::loopback(),
+                                              parsed["port"].as<std::uint16_t>());
+  Relay relay(context, listen, destination);
   const HttpServer control(
     context,
     parsed["control-port"].as<std::uint16_t>(),
--- a/packages/standins/relay/relay.cc
+++ b/packages/standins/relay/relay.cc
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include <boost/asio/basic_waitable_timer.hpp>
-#include <boost/asio/ip/address_v4.hpp>
 #include <boost/asio/write.hpp>
 
 #include "util/clock.h"
@@ -60,6 +59,15 @@
     this->server.cancel(ignored);
   }
 
+  /// Both sides see a reset instead of an end.
+  void Reset()
+  {
+    error_code ignored;
+    this->client.set_option(asio::socket_base::linger(true, 0), ignored);
+    this->server.set_option(asio::socket_base::linger(true, 0), ignored);
+    this->Close();
+  }
+
   void Close()
   {
     error_code ignored;
@@ -105,6 +113,10 @@
     if (this->silent) {
       return;
     }
+    if (this->control.Mode() == RelayMode::kOneWay && &aTo == &this->client) {
+      this->Read(aFrom, aTo, aDirection);
+      return;
+    }
     asio::async_write(aTo,
                       asio::buffer(aDirection.block.data(), aBytes),
                       [self = this->shared_from_this(), &aFrom, &aTo, &aDirection](
@@ -128,9 +140,9 @@
   std::shared_ptr<RelayedConnection> silent;
 };
 
-Relay::Relay(asio::io_context& aContext, std::uint16_t aPort, tcp::endpoint aDestination)
+Relay::Relay(asio::io_context& aContext, const tcp::endpoint& aListen, tcp::endpoint aDestination)
   : context(aContext)
-  , acceptor(aContext, tcp::endpoint(asio::ip::address_v4::loopback(), aPort))
+  , acceptor(aContext, aListen)
   , destination(std::move(aDestination))
 {
   this->Accept();
@@ -144,6 +156,8 @@
     const std::shared_ptr<RelayedConnection> connection = weak.lock();
     if (connection && aControl.Mode() == RelayMode::kCut) {
       connection->Close();
+    } else if (connection && aControl.Mode() == RelayMode::kReset) {
+      connection->Reset();
     } else if (connection && aControl.Mode() == RelayMode::kSilent) {
       connection->Silence();
     }
--- a/packages/standins/relay/relay.h
+++ b/packages/standins/relay/relay.h
@@ -1,10 +1,10 @@
 // TCP relay that tests put between two processes to break their connections.
 //
-//   Relay relay(context, 0, destination);
+//   Relay relay(context, { loopback, 0 }, destination);
 //   relay.Control(RelayControl({ .mode = RelayMode::kSilent }));
 //
 // Silent keeps the connections of that moment open and forwards nothing on them any more, while
-// connections that are opened later work.
+// connections that are opened later work. One-way passes requests on and drops the answers.
 #pragma once
 
 #include <cstdint>
@@ -23,8 +23,9 @@
 class Relay
 {
 public:
+  /// Port 0 of aListen lets the system choose. Throws boost::system::system_error.
   Relay(boost::asio::io_context& aContext,
-        std::uint16_t aPort,
+        const boost::asio::ip::tcp::endpoint& aListen,
         boost::asio::ip::tcp::endpoint aDestination);
 
   std::uint16_t Port() const { return this->acceptor.local_endpoint().port(); }
--- a/tests/process/child_process.cc
+++ b/tests/process/child_process.cc
@@ -7,6 +7,7 @@
 #include <cstdlib>
 #include <sstream>
 
+#include <fcntl.h>
 #include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -21,19 +22,11 @@
   int output = -1;
 };
 
-Spawned
-Spawn(const std::string& aProgram, const std::vector<std::string>& aArguments)
+pid_t
+SpawnWith(const posix_spawn_file_actions_t& aActions,
+          const std::string& aProgram,
+          const std::vector<std::string>& aArguments)
 {
-  std::array<int, 2> ends{};
-  if (pipe(ends.data()) != 0) {
-    std::perror("pipe");
-    std::abort();
-  }
-  posix_spawn_file_actions_t actions;
-  posix_spawn_file_actions_init(&actions);
-  posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
-  posix_spawn_file_actions_addclose(&actions, ends[0]);
-  posix_spawn_file_actions_addclose(&actions, ends[1]);
   const std::string path = std::string(JACKDAW_BIN_DIR) + "/" + aProgram;
   std::vector<std::string> arguments = aArguments;
   arguments.insert(arguments.begin(), path);
@@ -43,14 +36,31 @@
     pointers.push_back(argument.data());
   }
   pointers.push_back(nullptr);
-  Spawned spawned{ .pid = 0, .output = ends[0] };
-  if (posix_spawn(&spawned.pid, path.c_str(), &actions, nullptr, pointers.data(), environ) != 0) {
+  pid_t pid = 0;
+  if (posix_spawn(&pid, path.c_str(), &aActions, nullptr, pointers.data(), environ) != 0) {
     std::perror(path.c_str());
     std::abort();
   }
+  return pid;
+}
+
+Spawned
+Spawn(const std::string& aProgram, const std::vector<std::string>& aArguments)
+{
+  std::array<int, 2> ends{};
+  if (pipe(ends.data()) != 0) {
+    std::perror("pipe");
+    std::abort();
+  }
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+  posix_spawn_file_actions_addclose(&actions, ends[0]);
+  posix_spawn_file_actions_addclose(&actions, ends[1]);
+  const pid_t pid = SpawnWith(actions, aProgram, aArguments);
   posix_spawn_file_actions_destroy(&actions);
   close(ends[1]);
-  return spawned;
+  return { .pid = pid, .output = ends[0] };
 }
 
 } // namespace
@@ -63,13 +73,28 @@
   this->firstLine = this->ReadLine();
 }
 
+ChildProcess::ChildProcess(const std::string& aProgram,
+                           const std::vector<std::string>& aArguments,
+                           const std::string& aOutputFile)
+{
+  constexpr mode_t kMode = 0644;
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addopen(
+    &actions, STDOUT_FILENO, aOutputFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, kMode);
+  this->pid = SpawnWith(actions, aProgram, aArguments);
+  posix_spawn_file_actions_destroy(&actions);
+}
+
 ChildProcess::~ChildProcess()
 {
   if (!this->reaped) {
     kill(this->pid, SIGKILL);
     this->Wait();
   }
-  close(this->output);
+  if (this->output >= 0) {
+    close(this->output);
+  }
 }
 
 std::uint16_t
--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -20,6 +20,10 @@
 public:
   /// Starts a program of the build's binary folder; its standard output is read line by line.
   ChildProcess(const std::string& aProgram, const std::vector<std::string>& aArguments);
+  /// Starts a program whose standard output goes to the end of a file; it has no first line.
+  ChildProcess(const std::string& aProgram,
+               const std::vector<std::string>& aArguments,
+               const std::string& aOutputFile);
   ~ChildProcess();
   ChildProcess(const ChildProcess&) = delete;
   ChildProcess& operator=(const ChildProcess&) = delete;
--- a/tests/process/http.cc
+++ b/tests/process/http.cc
@@ -19,8 +19,6 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
-constexpr std::chrono::seconds kTimeout{ 20 };
-
 } // namespace
 
 int
@@ -44,14 +42,20 @@
   asio::io_context io;
   beast::tcp_stream stream{ io };
   beast::flat_buffer buffer;
+  std::chrono::milliseconds patience;
   bool open = false;
 
+  explicit Impl(std::chrono::milliseconds aPatience)
+    : patience(aPatience)
+  {
+  }
+
   /// Runs one asynchronous operation to its end, since blocking calls know no timeout.
   template<typename Start>
   bool Complete(Start aStart)
   {
     std::optional<beast::error_code> result;
-    this->stream.expires_after(kTimeout);
+    this->stream.expires_after(this->patience);
     aStart([&result](beast::error_code aError, const auto&...) { result = aError; });
     this->io.restart();
     this->io.run();
@@ -59,8 +63,8 @@
   }
 };
 
-HttpConnection::HttpConnection(std::uint16_t aPort)
-  : impl(std::make_unique<Impl>())
+HttpConnection::HttpConnection(std::uint16_t aPort, std::chrono::milliseconds aPatience)
+  : impl(std::make_unique<Impl>(aPatience))
 {
   const asio::ip::tcp::endpoint endpoint(asio::ip::address_v4::loopback(), aPort);
   this->impl->open = this->impl->Complete(
@@ -90,6 +94,12 @@
   return this->ReadAnswer();
 }
 
+bool
+HttpConnection::IsOpen() const
+{
+  return this->impl->open;
+}
+
 HttpAnswer
 HttpConnection::SendRaw(const std::string& aBytes)
 {
--- a/tests/process/http.h
+++ b/tests/process/http.h
@@ -1,6 +1,7 @@
 // Blocking HTTP/1.1 client for tests of whole processes.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -39,12 +40,15 @@
 class HttpConnection
 {
 public:
-  explicit HttpConnection(std::uint16_t aPort);
+  /// aPatience: longest wait for a connection, for a write and for an answer.
+  explicit HttpConnection(std::uint16_t aPort,
+                          std::chrono::milliseconds aPatience = std::chrono::seconds(20));
   ~HttpConnection();
   HttpConnection(const HttpConnection&) = delete;
   HttpConnection& operator=(const HttpConnection&) = delete;
 
   HttpAnswer Send(const HttpRequest& aRequest);
+  bool IsOpen() const;
   HttpAnswer SendRaw(const std::string& aBytes);
 
 private:
--- a/tools/check_layers.py
+++ b/tools/check_layers.py
@@ -66,7 +66,7 @@
     found = []
     for package in ALLOWED:
         for path in sources(folder_of(package)):
-            if "tests" not in path.parts and path.suffix != ".yaml":
+            if not {"tests", "soak"} & set(path.parts) and path.suffix != ".yaml":
                 found.extend(include_problems(package, path))
     for folder in ("packages", "schema", "tests", "bench"):
         for path in sources(ROOT / folder):
