--- a/packages/decisions/mesh/quota_bucket.cc
+++ b/packages/decisions/mesh/quota_bucket.cc
@@ -13,6 +13,8 @@
 constexpr double kHeldPart = 0.3;
 /// Mean of the spending over about this time.
 constexpr double kSpentSeconds = 2;
+/// Time for which overflowed tokens are remembered: the longest time until a report.
+constexpr double kOverflowSeconds = 2;
 /// Window over which operators judge a quota.
 constexpr double kWindowSeconds = 5;
 /// Part of what the quota leaves free that is given as credit; the rest covers the error of the
@@ -41,6 +43,7 @@
 QuotaBucket::Restart(Time aNow, Time aHeldUntil)
 {
   this->tokens = 0;
+  this->overflow = 0;
   this->filledAt = aNow;
   this->heldUntil = aHeldUntil;
   // What the organisation has just used is not known.
@@ -53,7 +56,11 @@
 {
   this->share = aNow < this->heldUntil ? aShare * kHeldPart : aShare;
   const double passed = Seconds(std::max(aNow - this->filledAt, Duration::zero()));
-  this->tokens = std::min(this->burst, this->tokens + this->rate * this->share * passed);
+  const double filled = this->tokens + this->rate * this->share * passed;
+  this->tokens = std::min(this->burst, filled);
+  const double kept = std::max(1.0 - passed / kOverflowSeconds, 0.0);
+  this->overflow = std::min(this->overflow * kept + filled - this->tokens,
+                            this->rate * this->share * kOverflowSeconds);
   this->filledAt = aNow;
 }
 
@@ -81,9 +88,13 @@
 }
 
 void
-QuotaBucket::Deduct(std::uint32_t aUsed, Time aNow)
+QuotaBucket::Deduct(std::uint32_t aUsed, Duration aAge, Time aNow)
 {
-  this->tokens -= aUsed;
+  // Requests of this mean age came over about twice that time.
+  const double flowed = this->rate * this->share * 2 * Seconds(aAge);
+  const double late = std::min({ this->overflow, flowed, static_cast<double>(aUsed) });
+  this->overflow -= late;
+  this->tokens -= aUsed - late;
   this->NoteSpent(aUsed, aNow);
 }
 
--- a/packages/decisions/mesh/quota_bucket.h
+++ b/packages/decisions/mesh/quota_bucket.h
@@ -32,8 +32,9 @@
 
   /// Whole tokens up to aWant.
   std::uint32_t Grant(std::uint32_t aWant, Time aNow);
-  /// Requests that nodes let in on credit.
-  void Deduct(std::uint32_t aUsed, Time aNow);
+  /// Requests that nodes let in on credit, aAge ago in the mean. They are taken first from what has
+  /// overflowed the bucket in that time, as if each had been reported at once.
+  void Deduct(std::uint32_t aUsed, Duration aAge, Time aNow);
   /// A token that was not used.
   void Return();
   /// Requests that each of aNodes may let in before it reports them; 0 while the organisation uses
@@ -47,6 +48,8 @@
   double rate = 0;
   double burst = 0;
   double tokens = 0;
+  /// Tokens that have overflowed within about the longest time until a report.
+  double overflow = 0;
   double share = 1;
   Time filledAt{};
   Time heldUntil{};
--- a/packages/decisions/mesh/quota_pool.cc
+++ b/packages/decisions/mesh/quota_pool.cc
@@ -190,6 +190,12 @@
   return aAccount.bucket.Grant(1, aNow) > 0;
 }
 
+Duration
+QuotaPool::AgeOf(const Account& aAccount, Time aNow)
+{
+  return aAccount.unreported > 0 ? aNow - aAccount.unreportedAt : Duration::zero();
+}
+
 bool
 QuotaPool::TakeCredit(Account& aAccount, Time aNow)
 {
@@ -197,6 +203,8 @@
     return false;
   }
   ++aAccount.unreported;
+  aAccount.unreportedAt +=
+    (aNow - aAccount.unreportedAt) / static_cast<Duration::rep>(aAccount.unreported);
   Channel& channel = this->ChannelTo(aAccount.keeper);
   const bool usedUp = aAccount.unreported + aAccount.reporting >= aAccount.credit;
   channel.reportAt = std::min(channel.reportAt, usedUp ? aNow : aNow + kReportInterval);
@@ -301,8 +309,10 @@
     if (account.keeper != aChannel.keeper || (account.waiters.empty() && account.unreported == 0)) {
       continue;
     }
-    uses.push_back(QuotaUse(
-      { .organisation = entry.first, .used = account.unreported, .want = WantOf(account) }));
+    uses.push_back(QuotaUse({ .organisation = entry.first,
+                              .used = account.unreported,
+                              .age = AgeOf(account, aNow),
+                              .want = WantOf(account) }));
     account.reporting = std::exchange(account.unreported, 0);
   }
   aChannel.reportAt = Time::max();
@@ -326,7 +336,7 @@
   }
   this->Fill(found->second, aNow);
   QuotaBucket& bucket = found->second.bucket;
-  bucket.Deduct(aUse.Used(), aNow);
+  bucket.Deduct(aUse.Used(), aUse.Age(), aNow);
   const std::uint32_t tokens = bucket.Grant(aUse.Want(), aNow);
   return QuotaAllowance({ .organisation = organisation,
                           .tokens = tokens,
@@ -440,7 +450,8 @@
     Account& account = entry.second;
     this->PollWaiters(account, aNow);
     if (this->IsKeeper(account) && account.unreported > 0) {
-      account.bucket.Deduct(std::exchange(account.unreported, 0), aNow);
+      account.bucket.Deduct(account.unreported, AgeOf(account, aNow), aNow);
+      account.unreported = 0;
     }
     if (!account.waiters.empty()) {
       Channel& channel = this->ChannelTo(account.keeper);
--- a/packages/decisions/mesh/quota_pool.h
+++ b/packages/decisions/mesh/quota_pool.h
@@ -120,6 +120,8 @@
     /// Requests that were let in on credit: not reported, and in a report under way.
     std::uint32_t unreported = 0;
     std::uint32_t reporting = 0;
+    /// Mean of the times at which those not reported were let in.
+    Time unreportedAt{};
     /// The keeper had none left; no draw is made until then.
     Time emptyUntil{};
     std::deque<Waiter> waiters;
@@ -141,6 +143,7 @@
   void Fill(Account& aAccount, Time aNow) const;
   bool TakeReserve(Account& aAccount, Time aNow) const;
   bool TakeOwn(Account& aAccount, Time aNow) const;
+  static Duration AgeOf(const Account& aAccount, Time aNow);
   bool TakeCredit(Account& aAccount, Time aNow);
   static void NoteDemand(Account& aAccount, Time aNow);
   static std::uint32_t WantOf(const Account& aAccount);
--- a/packages/decisions/tests/mesh_quota_test.cc
+++ b/packages/decisions/tests/mesh_quota_test.cc
@@ -100,6 +100,24 @@
   EXPECT_LE(mesh.Draws() - before, 7U * 11);
 }
 
+TEST(MeshQuota, ReportedRequestsDoNotEmptyAFullBucketLater)
+{
+  // Guards against refusals within the quota at the start of a burst: what was let in on credit
+  // before it had been paid by tokens that overflowed meanwhile.
+  FakeMesh mesh(1);
+  StartServingFleet(mesh);
+  for (int index = 0; index < 240; ++index) {
+    mesh.Request(
+      kNodes[static_cast<std::size_t>(index) % kNodes.size()], "api", "/fleet/1", "north-key");
+    mesh.Advance(milliseconds(42));
+  }
+  const std::size_t before = mesh.Runs().size();
+  EXPECT_EQ(before, 240U);
+  Offer(mesh, seconds(2));
+  // The burst and two seconds of the rate.
+  EXPECT_GE(mesh.Runs().size() - before, (kRate + 2 * kRate) * 0.9);
+}
+
 TEST(MeshQuota, HoldsWhenEveryNodeUsesItsCreditAtOnce)
 {
   for (std::uint64_t seed = 1; seed <= 5; ++seed) {
--- a/packages/util/clock.cc
+++ b/packages/util/clock.cc
@@ -1,19 +1,23 @@
 #include "util/clock.h"
 
 #include <atomic>
+#include <ctime>
 #include <variant>
 
 namespace jackdawwind {
 
 namespace {
 
-struct SteadySource
+/// Counts the time in which the machine is suspended, which the steady clock of the standard library
+/// leaves out: leases, tokens and deadlines run on meanwhile for everybody else.
+struct BootSource
 {
   Time Now() const
   {
-    const std::chrono::steady_clock::duration sinceStart =
-      std::chrono::steady_clock::now().time_since_epoch();
-    return Time(std::chrono::duration_cast<Duration>(sinceStart));
+    std::timespec sinceBoot{};
+    clock_gettime(CLOCK_BOOTTIME, &sinceBoot);
+    return Time(std::chrono::duration_cast<Duration>(std::chrono::seconds(sinceBoot.tv_sec) +
+                                                     std::chrono::nanoseconds(sinceBoot.tv_nsec)));
   }
 };
 
@@ -24,7 +28,7 @@
   std::atomic<Duration::rep>* micros;
 };
 
-using ClockSource = std::variant<SteadySource, ManualSource>;
+using ClockSource = std::variant<BootSource, ManualSource>;
 
 std::atomic<Duration::rep> manualMicros{ 0 };
 std::atomic<bool> paused{ false };
@@ -35,7 +39,7 @@
   if (paused.load()) {
     return ManualSource{ &manualMicros };
   }
-  return SteadySource{};
+  return BootSource{};
 }
 
 } // namespace
--- a/packages/util/clock.h
+++ b/packages/util/clock.h
@@ -14,7 +14,8 @@
 
 using Duration = std::chrono::microseconds;
 
-/// Clock in the sense of the standard library; monotonic, not wall time. Safe for every thread.
+/// Clock in the sense of the standard library; monotonic, not wall time, and running on while the
+/// machine is suspended. Safe for every thread.
 class Clock
 {
 public:
