--- a/packages/decisions/mesh/quota_bucket.cc
+++ b/packages/decisions/mesh/quota_bucket.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace jackdawwind {
 
@@ -14,12 +15,10 @@
 /// Mean of the spending over about this time.
 constexpr double kSpentSeconds = 2;
 /// Time for which overflowed tokens are remembered: the longest time until a report.
-constexpr double kOverflowSeconds = 2;
-/// Window over which operators judge a quota.
-constexpr double kWindowSeconds = 5;
-/// Part of what the quota leaves free that is given as credit; the rest covers the error of the
-/// mean.
-constexpr double kCreditPart = 0.9;
+constexpr double kOverflowSeconds = 3;
+/// Time of what the quota leaves free that may be out as credit. The tolerance of quotas covers a
+/// surge in which all of it is used besides the tokens; the longer, the less often nodes report.
+constexpr double kCreditSeconds = 2;
 /// Part of the burst that must be saved for credit to be given.
 constexpr double kSavedPart = 0.5;
 
@@ -44,6 +43,7 @@
 {
   this->tokens = 0;
   this->overflow = 0;
+  this->out.clear();
   this->filledAt = aNow;
   this->heldUntil = aHeldUntil;
   // What the organisation has just used is not known.
@@ -58,6 +58,9 @@
   const double passed = Seconds(std::max(aNow - this->filledAt, Duration::zero()));
   const double filled = this->tokens + this->rate * this->share * passed;
   this->tokens = std::min(this->burst, filled);
+  if (filled > this->burst) {
+    this->overflowedAt = aNow;
+  }
   const double kept = std::max(1.0 - passed / kOverflowSeconds, 0.0);
   this->overflow = std::min(this->overflow * kept + filled - this->tokens,
                             this->rate * this->share * kOverflowSeconds);
@@ -90,8 +93,9 @@
 void
 QuotaBucket::Deduct(std::uint32_t aUsed, Duration aAge, Time aNow)
 {
-  // Requests of this mean age came over about twice that time.
-  const double flowed = this->rate * this->share * 2 * Seconds(aAge);
+  // Requests of this mean age came over about twice that time. What overflowed before them is gone.
+  const Duration since = 2 * aAge - (aNow - this->overflowedAt);
+  const double flowed = this->rate * this->share * Seconds(std::max(since, Duration::zero()));
   const double late = std::min({ this->overflow, flowed, static_cast<double>(aUsed) });
   this->overflow -= late;
   this->tokens -= aUsed - late;
@@ -105,16 +109,26 @@
 }
 
 std::uint32_t
-QuotaBucket::CreditPerNode(std::size_t aNodes, Time aNow) const
+QuotaBucket::GiveCredit(const std::string& aNode, std::uint32_t aWant, Time aNow)
 {
+  this->out.erase(aNode);
+  std::erase_if(this->out, [aNow](const std::pair<const std::string, Credit>& aEntry) {
+    return aEntry.second.until <= aNow;
+  });
   const bool saved = this->tokens >= this->burst * kSavedPart;
-  const double free = this->rate * this->share - this->SpentPerSecond(aNow);
-  if (!saved || aNow < this->heldUntil || free <= 0) {
+  if (!saved || aNow < this->heldUntil) {
     return 0;
   }
-  const double all = free * kWindowSeconds * kCreditPart;
-  return static_cast<std::uint32_t>(
-    std::floor(all / static_cast<double>(std::max<std::size_t>(aNodes, 1))));
+  double free = (this->rate * this->share - this->SpentPerSecond(aNow)) * kCreditSeconds;
+  for (const std::pair<const std::string, Credit>& entry : this->out) {
+    free -= entry.second.requests;
+  }
+  const double given = std::clamp<double>(std::floor(free), 0, aWant);
+  const std::uint32_t requests = static_cast<std::uint32_t>(given);
+  if (requests > 0) {
+    this->out[aNode] = Credit{ requests, aNow + kCreditLife };
+  }
+  return requests;
 }
 
 } // namespace jackdawwind
--- a/packages/decisions/mesh/quota_bucket.h
+++ b/packages/decisions/mesh/quota_bucket.h
@@ -4,17 +4,17 @@
 //   bucket.Configure(rate, burst);
 //   bucket.Fill(share, now);
 //   std::uint32_t granted = bucket.Grant(want, now);
-//   std::uint32_t credit = bucket.CreditPerNode(nodes);
+//   std::uint32_t credit = bucket.GiveCredit("a1", 4, now);
 //
-// Answers the load pattern "most organisations stay far below their quota": while one does, every
-// node may let some of its requests in at once and report them later. What is reported is deducted,
-// also below zero, so that nothing passes twice. The credit of all nodes together is at most what
-// the quota leaves free in the window over which it is judged, so that even a surge that uses all
-// of it at once stays within the quota.
+// Answers the load pattern "most organisations stay far below their quota": while one does, the
+// nodes that it enters at may let some of its requests in at once and report them later. What is
+// reported is deducted, also below zero, so that nothing passes twice. The credit that is out at a
+// time is at most what the quota leaves free in kCreditSeconds.
 #pragma once
 
-#include <cstddef>
 #include <cstdint>
+#include <map>
+#include <string>
 
 #include "util/clock.h"
 
@@ -37,11 +37,21 @@
   void Deduct(std::uint32_t aUsed, Duration aAge, Time aNow);
   /// A token that was not used.
   void Return();
-  /// Requests that each of aNodes may let in before it reports them; 0 while the organisation uses
-  /// much of its quota.
-  std::uint32_t CreditPerNode(std::size_t aNodes, Time aNow) const;
+  /// Requests, up to aWant, that a node may let in within kCreditLife before it reports them; takes
+  /// the place of its earlier credit. 0 while the organisation uses much of its quota.
+  std::uint32_t GiveCredit(const std::string& aNode, std::uint32_t aWant, Time aNow);
+
+  /// Credit is void after this time.
+  static constexpr Duration kCreditLife = std::chrono::seconds(5);
 
 private:
+  /// Credit of one node that is out.
+  struct Credit
+  {
+    std::uint32_t requests = 0;
+    Time until{};
+  };
+
   void NoteSpent(double aCount, Time aNow);
   double SpentPerSecond(Time aNow) const;
 
@@ -50,12 +60,14 @@
   double tokens = 0;
   /// Tokens that have overflowed within about the longest time until a report.
   double overflow = 0;
+  Time overflowedAt{};
   double share = 1;
   Time filledAt{};
   Time heldUntil{};
   /// Mean of what was spent per second, and when it was last updated.
   double spent = 0;
   Time spentAt{};
+  std::map<std::string, Credit> out;
 };
 
 } // namespace jackdawwind
--- a/packages/decisions/mesh/quota_pool.cc
+++ b/packages/decisions/mesh/quota_pool.cc
@@ -16,8 +16,8 @@
 constexpr Duration kDrawnLife = std::chrono::seconds(2);
 /// After a draw without an answer the reserve is used for this long before the next draw.
 constexpr Duration kSilence = std::chrono::milliseconds(500);
-/// Credit is void when the keeper has not answered a report for this long.
-constexpr Duration kCreditLife = std::chrono::seconds(5);
+/// Credit is asked for this many times what was used since the last report.
+constexpr std::uint32_t kCreditFactor = 2;
 /// Time without draws after the keeper had no token left: a hot organisation would draw for every
 /// request that it is refused.
 constexpr Duration kEmptyTime = std::chrono::milliseconds(100);
@@ -327,7 +327,7 @@
 }
 
 QuotaAllowance
-QuotaPool::Answer(const QuotaUse& aUse, Time aNow)
+QuotaPool::Answer(const std::string& aNode, const QuotaUse& aUse, Time aNow)
 {
   const std::string& organisation = aUse.GetOrganisation();
   const auto found = this->accounts.find(organisation);
@@ -338,9 +338,10 @@
   QuotaBucket& bucket = found->second.bucket;
   bucket.Deduct(aUse.Used(), aUse.Age(), aNow);
   const std::uint32_t tokens = bucket.Grant(aUse.Want(), aNow);
+  const std::uint32_t wanted = std::max(1U, kCreditFactor * (aUse.Used() + aUse.Want()));
   return QuotaAllowance({ .organisation = organisation,
                           .tokens = tokens,
-                          .credit = bucket.CreditPerNode(this->fleet.Expected(), aNow) });
+                          .credit = bucket.GiveCredit(aNode, wanted, aNow) });
 }
 
 void
@@ -349,7 +350,7 @@
   std::vector<QuotaAllowance> allowances;
   allowances.reserve(aDraw.Uses().size());
   for (const QuotaUse& use : aDraw.Uses()) {
-    allowances.push_back(this->Answer(use, aNow));
+    allowances.push_back(this->Answer(aDraw.Sender().Node(), use, aNow));
   }
   aEffects.push_back(SendPeer({ .to = aDraw.Sender(),
                                 .message = QuotaGrant({ .sender = this->self.Node(),
@@ -379,7 +380,7 @@
 {
   aAccount.reporting = 0;
   aAccount.credit = aAllowance.Credit();
-  aAccount.creditUntil = aNow + kCreditLife;
+  aAccount.creditUntil = aNow + QuotaBucket::kCreditLife;
   if (aNow - aAccount.drawnAt >= kDrawnLife) {
     aAccount.drawn = 0;
   }
--- a/packages/decisions/mesh/quota_pool.h
+++ b/packages/decisions/mesh/quota_pool.h
@@ -62,7 +62,7 @@
   /// Nodes that keep quotas at a time. More of them share the load of draws, fewer the reports.
   static constexpr std::size_t kKeepers = 8;
   /// Time until requests that were let in on credit are reported, unless the credit is used up.
-  static constexpr Duration kReportInterval = std::chrono::seconds(2);
+  static constexpr Duration kReportInterval = std::chrono::seconds(3);
 
   explicit QuotaPool(PeerAddress aSelf);
 
@@ -149,7 +149,7 @@
   static std::uint32_t WantOf(const Account& aAccount);
   Channel& ChannelTo(const PeerAddress& aKeeper);
   void Draw(Channel& aChannel, Time aNow, Effects& aEffects);
-  QuotaAllowance Answer(const QuotaUse& aUse, Time aNow);
+  QuotaAllowance Answer(const std::string& aNode, const QuotaUse& aUse, Time aNow);
   void Take(Account& aAccount, const QuotaAllowance& aAllowance, Time aNow);
   void EndDraw(Channel& aChannel, Time aNow);
   void PollWaiters(Account& aAccount, Time aNow);
--- a/packages/decisions/tests/mesh_quota_test.cc
+++ b/packages/decisions/tests/mesh_quota_test.cc
@@ -96,7 +96,8 @@
   const std::size_t runs = mesh.Runs().size();
   OfferLittle(mesh, 160);
   EXPECT_EQ(mesh.Runs().size() - runs, 160U);
-  // Each of the seven other nodes reports every other second for 20 seconds.
+  // Each of the seven other nodes reports every three seconds for 20 seconds, or every second
+  // request when its credit is two.
   EXPECT_LE(mesh.Draws() - before, 7U * 11);
 }
 
