--- a/packages/util/clock.cc
+++ b/packages/util/clock.cc
@@ -8,8 +8,8 @@
 
 namespace {
 
-/// Counts the time in which the machine is suspended, which the steady clock of the standard library
-/// leaves out: leases, tokens and deadlines run on meanwhile for everybody else.
+/// Counts the time in which the machine is suspended, which the steady clock of the standard
+/// library leaves out: leases, tokens and deadlines run on meanwhile for everybody else.
 struct BootSource
 {
   Time Now() const
