Name the steps of a draw for what they do

Cause: reading the diff as a newcomer: Take applied an allowance, EndDraw gave up a draw without an answer, out held the credit that nodes have. No change of behaviour; the 35 tests of MeshCore's modules pass.

--- a/packages/decisions/mesh/quota_bucket.cc
+++ b/packages/decisions/mesh/quota_bucket.cc
@@ -43,7 +43,7 @@
 {
   this->tokens = 0;
   this->overflow = 0;
-  this->out.clear();
+  this->outstanding.clear();
   this->filledAt = aNow;
   this->heldUntil = aHeldUntil;
   // What the organisation has just used is not known.
@@ -111,8 +111,8 @@
 std::uint32_t
 QuotaBucket::GiveCredit(const std::string& aNode, std::uint32_t aWant, Time aNow)
 {
-  this->out.erase(aNode);
-  std::erase_if(this->out, [aNow](const std::pair<const std::string, Credit>& aEntry) {
+  this->outstanding.erase(aNode);
+  std::erase_if(this->outstanding, [aNow](const std::pair<const std::string, Credit>& aEntry) {
     return aEntry.second.until <= aNow;
   });
   const bool saved = this->tokens >= this->burst * kSavedPart;
@@ -120,13 +120,13 @@
     return 0;
   }
   double free = (this->rate * this->share - this->SpentPerSecond(aNow)) * kCreditSeconds;
-  for (const std::pair<const std::string, Credit>& entry : this->out) {
+  for (const std::pair<const std::string, Credit>& entry : this->outstanding) {
     free -= entry.second.requests;
   }
   const double given = std::clamp<double>(std::floor(free), 0, aWant);
   const std::uint32_t requests = static_cast<std::uint32_t>(given);
   if (requests > 0) {
-    this->out[aNode] = Credit{ requests, aNow + kCreditLife };
+    this->outstanding[aNode] = Credit{ requests, aNow + kCreditLife };
   }
   return requests;
 }
--- a/packages/decisions/mesh/quota_bucket.h
+++ b/packages/decisions/mesh/quota_bucket.h
@@ -45,7 +45,7 @@
   static constexpr Duration kCreditLife = std::chrono::seconds(5);
 
 private:
-  /// Credit of one node that is out.
+  /// Credit that a node holds.
   struct Credit
   {
     std::uint32_t requests = 0;
@@ -67,7 +67,7 @@
   /// Mean of what was spent per second, and when it was last updated.
   double spent = 0;
   Time spentAt{};
-  std::map<std::string, Credit> out;
+  std::map<std::string, Credit> outstanding;
 };
 
 } // namespace jackdawwind
--- a/packages/decisions/mesh/quota_pool.cc
+++ b/packages/decisions/mesh/quota_pool.cc
@@ -370,13 +370,13 @@
   for (const QuotaAllowance& allowance : aGrant.Allowances()) {
     const auto found = this->accounts.find(allowance.GetOrganisation());
     if (found != this->accounts.end()) {
-      this->Take(found->second, allowance, aNow);
+      this->ApplyAllowance(found->second, allowance, aNow);
     }
   }
 }
 
 void
-QuotaPool::Take(Account& aAccount, const QuotaAllowance& aAllowance, Time aNow)
+QuotaPool::ApplyAllowance(Account& aAccount, const QuotaAllowance& aAllowance, Time aNow)
 {
   aAccount.reporting = 0;
   aAccount.credit = aAllowance.Credit();
@@ -429,7 +429,7 @@
 }
 
 void
-QuotaPool::EndDraw(Channel& aChannel, Time aNow)
+QuotaPool::GiveUpDraw(Channel& aChannel, Time aNow)
 {
   aChannel.answerDue = Time::max();
   aChannel.silentUntil = aNow + kSilence;
@@ -462,7 +462,7 @@
   for (std::pair<const std::string, Channel>& entry : this->channels) {
     Channel& channel = entry.second;
     if (channel.answerDue <= aNow) {
-      this->EndDraw(channel, aNow);
+      this->GiveUpDraw(channel, aNow);
     }
     if (channel.answerDue == Time::max() && channel.silentUntil <= aNow &&
         channel.reportAt <= aNow) {
--- a/packages/decisions/mesh/quota_pool.h
+++ b/packages/decisions/mesh/quota_pool.h
@@ -150,8 +150,8 @@
   Channel& ChannelTo(const PeerAddress& aKeeper);
   void Draw(Channel& aChannel, Time aNow, Effects& aEffects);
   QuotaAllowance Answer(const std::string& aNode, const QuotaUse& aUse, Time aNow);
-  void Take(Account& aAccount, const QuotaAllowance& aAllowance, Time aNow);
-  void EndDraw(Channel& aChannel, Time aNow);
+  void ApplyAllowance(Account& aAccount, const QuotaAllowance& aAllowance, Time aNow);
+  void GiveUpDraw(Channel& aChannel, Time aNow);
   void PollWaiters(Account& aAccount, Time aNow);
   void ServeWaiters(Account& aAccount);
   void RefuseWaiters(Account& aAccount);
