Pay reported requests only by what overflowed since they were let in

Reports are paid first by tokens that overflowed within the time of their requests, but each report by itself: with sixteen nodes the sum was more than had overflowed in that time, and the quiet seconds before the surge paid for it.

Ruled out: the credit that is out at the end of the window (the bucket is above zero by then); a smaller credit alone, which leaves the same fault smaller.

Change: overflow is kept by slots of 100 ms, and a report takes from the slots of its own time only, so that every token is counted where it flowed.

--- a/packages/decisions/mesh/quota_bucket.cc
+++ b/packages/decisions/mesh/quota_bucket.cc
@@ -14,8 +14,11 @@
 constexpr double kHeldPart = 0.3;
 /// Mean of the spending over about this time.
 constexpr double kSpentSeconds = 2;
-/// Time for which overflowed tokens are remembered: the longest time until a report.
-constexpr double kOverflowSeconds = 3;
+/// Overflowed tokens are remembered for the longest time until a report, by slots of this length:
+/// what pays for a request must have overflowed when it was let in, else a surge would be paid by
+/// the quiet time before it.
+constexpr Duration kSlot = std::chrono::milliseconds(100);
+constexpr std::int64_t kSlots = 30;
 /// Time of what the quota leaves free that may be out as credit. The tolerance of quotas covers a
 /// surge in which all of it is used besides the tokens; the longer, the less often nodes report.
 constexpr double kCreditSeconds = 2;
@@ -42,7 +45,7 @@
 QuotaBucket::Restart(Time aNow, Time aHeldUntil)
 {
   this->tokens = 0;
-  this->overflow = 0;
+  this->overflow.clear();
   this->outstanding.clear();
   this->filledAt = aNow;
   this->heldUntil = aHeldUntil;
@@ -58,15 +61,41 @@
   const double passed = Seconds(std::max(aNow - this->filledAt, Duration::zero()));
   const double filled = this->tokens + this->rate * this->share * passed;
   this->tokens = std::min(this->burst, filled);
-  if (filled > this->burst) {
-    this->overflowedAt = aNow;
-  }
-  const double kept = std::max(1.0 - passed / kOverflowSeconds, 0.0);
-  this->overflow = std::min(this->overflow * kept + filled - this->tokens,
-                            this->rate * this->share * kOverflowSeconds);
+  this->NoteOverflow(filled - this->tokens, aNow);
   this->filledAt = aNow;
 }
 
+void
+QuotaBucket::NoteOverflow(double aTokens, Time aNow)
+{
+  const std::int64_t current = aNow.time_since_epoch() / kSlot;
+  this->overflow.erase(this->overflow.begin(), this->overflow.lower_bound(current - kSlots));
+  const double perSlot = this->rate * this->share * Seconds(kSlot);
+  double left = aTokens;
+  // The newest flowed last.
+  for (std::int64_t slot = current; slot > current - kSlots && left > 0 && perSlot > 0; --slot) {
+    double& held = this->overflow[slot];
+    const double added = std::min(left, std::max(perSlot - held, 0.0));
+    held += added;
+    left -= added;
+  }
+}
+
+double
+QuotaBucket::TakeOverflow(double aWant, Time aFrom)
+{
+  double taken = 0;
+  const std::int64_t first = aFrom.time_since_epoch() / kSlot;
+  for (std::map<std::int64_t, double>::iterator slot = this->overflow.lower_bound(first);
+       slot != this->overflow.end();
+       ++slot) {
+    const double part = std::min(slot->second, aWant - taken);
+    slot->second -= part;
+    taken += part;
+  }
+  return taken;
+}
+
 double
 QuotaBucket::SpentPerSecond(Time aNow) const
 {
@@ -93,11 +122,8 @@
 void
 QuotaBucket::Deduct(std::uint32_t aUsed, Duration aAge, Time aNow)
 {
-  // Requests of this mean age came over about twice that time. What overflowed before them is gone.
-  const Duration since = 2 * aAge - (aNow - this->overflowedAt);
-  const double flowed = this->rate * this->share * Seconds(std::max(since, Duration::zero()));
-  const double late = std::min({ this->overflow, flowed, static_cast<double>(aUsed) });
-  this->overflow -= late;
+  // Requests of this mean age came over about twice that time.
+  const double late = this->TakeOverflow(aUsed, aNow - 2 * aAge);
   this->tokens -= aUsed - late;
   this->NoteSpent(aUsed, aNow);
 }
--- a/packages/decisions/mesh/quota_bucket.h
+++ b/packages/decisions/mesh/quota_bucket.h
@@ -52,15 +52,17 @@
     Time until{};
   };
 
+  void NoteOverflow(double aTokens, Time aNow);
+  /// Takes up to aWant of what has overflowed since aFrom.
+  double TakeOverflow(double aWant, Time aFrom);
   void NoteSpent(double aCount, Time aNow);
   double SpentPerSecond(Time aNow) const;
 
   double rate = 0;
   double burst = 0;
   double tokens = 0;
-  /// Tokens that have overflowed within about the longest time until a report.
-  double overflow = 0;
-  Time overflowedAt{};
+  /// Tokens that have overflowed, by the time slot in which they did.
+  std::map<std::int64_t, double> overflow;
   double share = 1;
   Time filledAt{};
   Time heldUntil{};
--- a/packages/decisions/tests/mesh_quota_test.cc
+++ b/packages/decisions/tests/mesh_quota_test.cc
@@ -28,27 +28,27 @@
 
 /// Eight hosts of one service, so that a node of any part of a cut fleet can serve.
 void
-StartServingFleet(FakeMesh& aMesh)
+StartServingFleet(FakeMesh& aMesh, double aRate = kRate)
 {
   for (const std::string& node : kNodes) {
     const bool near = node.front() == 'a';
     aMesh.AddHost({ node, near ? "ikeja" : "sharada", near ? "lagos" : "kano", "fleet" }, 50);
   }
   aMesh.Advance(seconds(1));
-  aMesh.Configure(MakeConfiguration(1, { "north-key" }, kRate));
+  aMesh.Configure(MakeConfiguration(1, { "north-key" }, aRate));
   aMesh.Advance(seconds(4));
 }
 
 /// Every node is offered more than its part of three times the quota.
 void
-Offer(FakeMesh& aMesh, Duration aTime)
+Offer(FakeMesh& aMesh, Duration aTime, Duration aGap = milliseconds(66))
 {
   const Time end = aMesh.Now() + aTime;
   while (aMesh.Now() < end) {
     for (const std::string& node : kNodes) {
       aMesh.Request(node, "api", "/fleet/1", "north-key");
     }
-    aMesh.Advance(milliseconds(66));
+    aMesh.Advance(aGap);
   }
 }
 
@@ -131,6 +131,22 @@
   }
 }
 
+TEST(MeshQuota, TheQuietTimeBeforeASurgeDoesNotPayForIt)
+{
+  // Guards against requests of a surge that are paid by tokens which overflowed before it: the more
+  // nodes report, the more of them were used (902 of 898 allowed on a day of the users' bench).
+  constexpr double kLargeRate = 200;
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    SCOPED_TRACE(seed);
+    FakeMesh mesh(seed);
+    StartServingFleet(mesh, kLargeRate);
+    Offer(mesh, seconds(4), milliseconds(130));
+    Offer(mesh, seconds(8), milliseconds(13));
+    EXPECT_LE(MostInAWindow(mesh), (kLargeRate * 5 + kLargeRate) * 1.1 + 20);
+    EXPECT_GE(mesh.Runs().size(), kLargeRate * 8 * 0.95);
+  }
+}
+
 TEST(MeshQuota, HoldsInEveryKindOfCut)
 {
   struct Case
