Call one piece for what the platform's code wrote again

QuotaPool went through all organisations after every event, though only waiting requests and a change of keepers need it.

Left: QuotaPool's mean of demand, which is read as of its last note and not as of now; the shape of the two cores' forwarding.

--- a/packages/decisions/membership/membership.cc
+++ b/packages/decisions/membership/membership.cc
@@ -265,6 +265,17 @@
   return wake;
 }
 
+std::vector<Member>
+Membership::List() const
+{
+  std::vector<Member> members;
+  members.reserve(this->Members().size());
+  for (const std::pair<const std::string, Member>& item : this->Members()) {
+    members.push_back(item.second);
+  }
+  return members;
+}
+
 std::vector<PeerAddress>
 Membership::LiveOf(const std::string& aDomain) const
 {
--- a/packages/decisions/membership/membership.h
+++ b/packages/decisions/membership/membership.h
@@ -67,6 +67,8 @@
 
   /// All known members by node id, this node and the dead that are not yet forgotten included.
   const std::map<std::string, Member>& Members() const { return this->table.All(); }
+  /// The same as a list, in the order of the ids.
+  std::vector<Member> List() const;
   /// Live or suspect members of a domain, this node included, in the order of their ids.
   std::vector<PeerAddress> LiveOf(const std::string& aDomain) const;
   /// Grows whenever Members() changes.
--- a/packages/decisions/mesh/mesh_core.cc
+++ b/packages/decisions/mesh/mesh_core.cc
@@ -324,11 +324,6 @@
 
   NodeStatus Status() const
   {
-    std::vector<Member> members;
-    members.reserve(this->membership.Members().size());
-    for (const std::pair<const std::string, Member>& item : this->membership.Members()) {
-      members.push_back(item.second);
-    }
     const TargetGate& gate = this->target.Gate();
     return NodeStatus(
       { .node = this->options.self.Node(),
@@ -340,7 +335,7 @@
         .limit = LimitStatus({ .running = static_cast<std::uint32_t>(gate.Running()),
                                .queued = static_cast<std::uint32_t>(gate.WaitingCount()),
                                .level = gate.LoadPerMille() }),
-        .members = std::move(members),
+        .members = this->membership.List(),
         .runningCalls = static_cast<std::uint32_t>(this->entry.Count() + this->target.Count()) });
   }
 
--- a/packages/decisions/mesh/node_picker.cc
+++ b/packages/decisions/mesh/node_picker.cc
@@ -64,9 +64,8 @@
     return cost;
   }
   const Record& record = found->second;
-  const double age = std::chrono::duration<double>(aNow - record.loadAt).count();
-  const double fresh =
-    std::clamp(1.0 - age / std::chrono::duration<double>(kLoadLife).count(), 0.0, 1.0);
+  const double age = Seconds(aNow - record.loadAt);
+  const double fresh = std::clamp(1.0 - age / Seconds(kLoadLife), 0.0, 1.0);
   const double load =
     std::max(record.load * fresh + record.sentSince * kLoadPerSend, record.running * kLoadPerSend);
   const double busy = std::max(load - kBusyLoad, 0.0);
--- a/packages/decisions/mesh/quota_bucket.cc
+++ b/packages/decisions/mesh/quota_bucket.cc
@@ -12,8 +12,6 @@
 /// An organisation that uses its quota up has no burst saved, so that this and the tolerance of
 /// quotas cover it.
 constexpr double kHeldPart = 0.3;
-/// Mean of the spending over about this time.
-constexpr double kSpentSeconds = 2;
 /// Overflowed tokens are remembered for the longest time until a report, by slots of this length:
 /// what pays for a request must have overflowed when it was let in, else a surge would be paid by
 /// the quiet time before it.
@@ -25,12 +23,6 @@
 /// Part of the burst that must be saved for credit to be given.
 constexpr double kSavedPart = 0.5;
 
-double
-Seconds(Duration aTime)
-{
-  return std::chrono::duration<double>(aTime).count();
-}
-
 } // namespace
 
 void
@@ -50,8 +42,8 @@
   this->filledAt = aNow;
   this->heldUntil = aHeldUntil;
   // What the organisation has just used is not known.
-  this->spent = this->rate;
-  this->spentAt = aNow;
+  this->spent = DemandEstimate(kSpentTime);
+  this->spent.Note(this->rate * Seconds(kSpentTime), aNow);
 }
 
 void
@@ -96,26 +88,13 @@
   return taken;
 }
 
-double
-QuotaBucket::SpentPerSecond(Time aNow) const
-{
-  return this->spent * std::exp(-Seconds(aNow - this->spentAt) / kSpentSeconds);
-}
-
-void
-QuotaBucket::NoteSpent(double aCount, Time aNow)
-{
-  this->spent = this->SpentPerSecond(aNow) + aCount / kSpentSeconds;
-  this->spentAt = aNow;
-}
-
 std::uint32_t
 QuotaBucket::Grant(std::uint32_t aWant, Time aNow)
 {
   const double whole = std::floor(std::max(this->tokens, 0.0));
   const std::uint32_t granted = static_cast<std::uint32_t>(std::min<double>(whole, aWant));
   this->tokens -= granted;
-  this->NoteSpent(granted, aNow);
+  this->spent.Note(granted, aNow);
   return granted;
 }
 
@@ -125,7 +104,7 @@
   // Requests of this mean age came over about twice that time.
   const double late = this->TakeOverflow(aUsed, aNow - 2 * aAge);
   this->tokens -= aUsed - late;
-  this->NoteSpent(aUsed, aNow);
+  this->spent.Note(aUsed, aNow);
 }
 
 void
@@ -145,7 +124,7 @@
   if (!saved || aNow < this->heldUntil) {
     return 0;
   }
-  double free = (this->rate * this->share - this->SpentPerSecond(aNow)) * kCreditSeconds;
+  double free = (this->rate * this->share - this->spent.PerSecond(aNow)) * kCreditSeconds;
   for (const std::pair<const std::string, Credit>& entry : this->outstanding) {
     free -= entry.second.requests;
   }
--- a/packages/decisions/mesh/quota_bucket.h
+++ b/packages/decisions/mesh/quota_bucket.h
@@ -16,6 +16,7 @@
 #include <map>
 #include <string>
 
+#include "decisions/rate/demand_estimate.h"
 #include "util/clock.h"
 
 namespace jackdawwind {
@@ -45,6 +46,9 @@
   static constexpr Duration kCreditLife = std::chrono::seconds(5);
 
 private:
+  /// The mean of the spending covers about this time.
+  static constexpr Duration kSpentTime = std::chrono::seconds(2);
+
   /// Credit that a node holds.
   struct Credit
   {
@@ -55,8 +59,6 @@
   void NoteOverflow(double aTokens, Time aNow);
   /// Takes up to aWant of what has overflowed since aFrom.
   double TakeOverflow(double aWant, Time aFrom);
-  void NoteSpent(double aCount, Time aNow);
-  double SpentPerSecond(Time aNow) const;
 
   double rate = 0;
   double burst = 0;
@@ -66,9 +68,7 @@
   double share = 1;
   Time filledAt{};
   Time heldUntil{};
-  /// Mean of what was spent per second, and when it was last updated.
-  double spent = 0;
-  Time spentAt{};
+  DemandEstimate spent{ kSpentTime };
   std::map<std::string, Credit> outstanding;
 };
 
--- a/packages/decisions/mesh/quota_pool.cc
+++ b/packages/decisions/mesh/quota_pool.cc
@@ -30,12 +30,6 @@
 /// need to find the other side of a cut, after which FleetShare divides the quota.
 constexpr Duration kTakeover = std::chrono::seconds(5);
 
-double
-Seconds(Duration aTime)
-{
-  return std::chrono::duration<double>(aTime).count();
-}
-
 /// FNV mixes its last bytes badly; the multiplication spreads them.
 std::uint64_t
 Spread(const StableHash& aHash)
@@ -144,6 +138,10 @@
     account.creditUntil = Time{};
     account.emptyUntil = Time{};
     account.unreported += std::exchange(account.reporting, 0);
+    if (keeper == this->self) {
+      account.bucket.Deduct(account.unreported, AgeOf(account, aNow), aNow);
+      account.unreported = 0;
+    }
   }
 }
 
@@ -428,6 +426,19 @@
   }
 }
 
+void
+QuotaPool::PollAllWaiters(Time aNow)
+{
+  for (std::pair<const std::string, Account>& entry : this->accounts) {
+    Account& account = entry.second;
+    this->PollWaiters(account, aNow);
+    if (!account.waiters.empty()) {
+      Channel& channel = this->ChannelTo(account.keeper);
+      channel.reportAt = std::min(channel.reportAt, aNow);
+    }
+  }
+}
+
 void
 QuotaPool::GiveUpDraw(Channel& aChannel, Time aNow)
 {
@@ -447,17 +458,8 @@
 void
 QuotaPool::Poll(Time aNow, Effects& aEffects)
 {
-  for (std::pair<const std::string, Account>& entry : this->accounts) {
-    Account& account = entry.second;
-    this->PollWaiters(account, aNow);
-    if (this->IsKeeper(account) && account.unreported > 0) {
-      account.bucket.Deduct(account.unreported, AgeOf(account, aNow), aNow);
-      account.unreported = 0;
-    }
-    if (!account.waiters.empty()) {
-      Channel& channel = this->ChannelTo(account.keeper);
-      channel.reportAt = std::min(channel.reportAt, aNow);
-    }
+  if (!this->waitingFor.empty()) {
+    this->PollAllWaiters(aNow);
   }
   for (std::pair<const std::string, Channel>& entry : this->channels) {
     Channel& channel = entry.second;
@@ -482,6 +484,9 @@
                           : Time::max();
     next = std::min({ next, channel.answerDue, report });
   }
+  if (this->waitingFor.empty()) {
+    return next;
+  }
   for (const std::pair<const std::string, Account>& entry : this->accounts) {
     if (!entry.second.waiters.empty()) {
       next = std::min(next, entry.second.waiters.front().until);
--- a/packages/decisions/mesh/quota_pool.h
+++ b/packages/decisions/mesh/quota_pool.h
@@ -153,6 +153,7 @@
   void ApplyAllowance(Account& aAccount, const QuotaAllowance& aAllowance, Time aNow);
   void GiveUpDraw(Channel& aChannel, Time aNow);
   void PollWaiters(Account& aAccount, Time aNow);
+  void PollAllWaiters(Time aNow);
   void ServeWaiters(Account& aAccount);
   void RefuseWaiters(Account& aAccount);
   std::vector<PeerAddress> BestKeepers(const Members& aMembers) const;
--- a/packages/decisions/node_core.cc
+++ b/packages/decisions/node_core.cc
@@ -377,11 +377,6 @@
 
   NodeStatus Status(Time aNow) const
   {
-    std::vector<Member> members;
-    members.reserve(this->membership.Members().size());
-    for (const std::pair<const std::string, Member>& item : this->membership.Members()) {
-      members.push_back(item.second);
-    }
     const std::size_t running = this->entry.Count() + this->admitted.Count();
     return NodeStatus({ .node = this->options.self.Node(),
                         .domain = this->options.settings.GetDomain(),
@@ -396,7 +391,7 @@
                         .elected = this->rate.Elected(),
                         .limit = this->controller.Status(),
                         .tokens = this->rate.Status(aNow),
-                        .members = std::move(members),
+                        .members = this->membership.List(),
                         .runningCalls = static_cast<std::uint32_t>(running) });
   }
 
--- a/packages/decisions/rate/demand_estimate.cc
+++ b/packages/decisions/rate/demand_estimate.cc
@@ -5,22 +5,10 @@
 
 namespace jackdawwind {
 
-namespace {
-
-constexpr double kTimeConstantSeconds = 1;
-
-double
-Seconds(Duration aDuration)
-{
-  return std::chrono::duration<double>(aDuration).count();
-}
-
-} // namespace
-
 void
 DemandEstimate::Note(double aTokens, Time aNow)
 {
-  this->decayed = this->PerSecond(aNow) * kTimeConstantSeconds + aTokens;
+  this->decayed = this->PerSecond(aNow) * Seconds(this->timeConstant) + aTokens;
   this->at = std::max(this->at, aNow);
 }
 
@@ -28,7 +16,8 @@
 DemandEstimate::PerSecond(Time aNow) const
 {
   const double age = std::max(0.0, Seconds(aNow - this->at));
-  return this->decayed * std::exp(-age / kTimeConstantSeconds) / kTimeConstantSeconds;
+  const double constant = Seconds(this->timeConstant);
+  return this->decayed * std::exp(-age / constant) / constant;
 }
 
 } // namespace jackdawwind
--- a/packages/decisions/rate/demand_estimate.h
+++ b/packages/decisions/rate/demand_estimate.h
@@ -1,4 +1,4 @@
-// Recent demand for tokens: a count that decays exponentially with a time constant of 1 s.
+// Recent demand for tokens: a count that decays exponentially.
 //
 //   estimate.Note(3, now);
 //   const double perSecond = estimate.PerSecond(now);
@@ -13,10 +13,17 @@
 class DemandEstimate
 {
 public:
+  /// aTimeConstant: the mean covers about this time.
+  explicit DemandEstimate(Duration aTimeConstant = std::chrono::seconds(1))
+    : timeConstant(aTimeConstant)
+  {
+  }
+
   void Note(double aTokens, Time aNow);
   double PerSecond(Time aNow) const;
 
 private:
+  Duration timeConstant;
   double decayed = 0;
   Time at{};
 };
--- a/packages/decisions/rate/token_bucket.cc
+++ b/packages/decisions/rate/token_bucket.cc
@@ -82,7 +82,7 @@
 TokenBucket::Fill(Time aUntil)
 {
   if (aUntil > this->filledAt) {
-    const double seconds = std::chrono::duration<double>(aUntil - this->filledAt).count();
+    const double seconds = Seconds(aUntil - this->filledAt);
     this->level += this->limit.perSecond * seconds;
     this->filledAt = aUntil;
   }
--- a/packages/decisions/rate/token_purse.cc
+++ b/packages/decisions/rate/token_purse.cc
@@ -145,8 +145,7 @@
     return 0;
   }
   const Duration time = std::min(aAccount.life / 2, kLongestAhead);
-  const double tokens =
-    aAccount.demand.PerSecond(aNow) * std::chrono::duration<double>(time).count();
+  const double tokens = aAccount.demand.PerSecond(aNow) * Seconds(time);
   const std::uint32_t target = static_cast<std::uint32_t>(tokens);
   return target < kLeastAhead ? 0 : target;
 }
--- a/packages/node/admitted_exchanges.cc
+++ b/packages/node/admitted_exchanges.cc
@@ -17,25 +17,11 @@
 http::request_header<>
 TargetHeader(const HttpRequest& aRequest)
 {
-  http::request_header<> header(aRequest.base());
-  StripHopByHop(header);
+  http::request_header<> header = NextHeader(aRequest);
   StripReserved(header);
-  header.erase(http::field::content_length);
-  header.version(11);
   return header;
 }
 
-/// Makes a target's answer fit for the connection to the entry node.
-void
-PrepareAnswer(HttpResponse& aResponse, bool aHeadRequest)
-{
-  StripHopByHop(aResponse);
-  StripReserved(aResponse);
-  if (!aHeadRequest) {
-    aResponse.prepare_payload();
-  }
-}
-
 } // namespace
 
 HttpResponse
--- a/packages/node/caller_request.cc
+++ b/packages/node/caller_request.cc
@@ -14,12 +14,6 @@
 /// Longest timeout that a caller may give: a day.
 constexpr std::uint64_t kMaxTimeoutMs = 86'400'000;
 
-std::string_view
-View(beast::string_view aText)
-{
-  return { aText.data(), aText.size() };
-}
-
 Rejection
 Malformed(std::string aReason)
 {
@@ -137,11 +131,8 @@
 http::request_header<>
 ForwardedHeader(const HttpRequest& aRequest, const std::string& aTarget)
 {
-  http::request_header<> header(aRequest.base());
-  StripHopByHop(header);
+  http::request_header<> header = NextHeader(aRequest);
   StripReserved(header);
-  header.erase(http::field::content_length);
-  header.version(11);
   header.target(aTarget);
   return header;
 }
--- a/packages/node/http_headers.cc
+++ b/packages/node/http_headers.cc
@@ -135,6 +135,26 @@
   EraseNames(aFields, names);
 }
 
+http::request_header<>
+NextHeader(const HttpRequest& aRequest)
+{
+  http::request_header<> header(aRequest.base());
+  StripHopByHop(header);
+  header.erase(http::field::content_length);
+  header.version(11);
+  return header;
+}
+
+void
+PrepareAnswer(HttpResponse& aResponse, bool aHeadRequest)
+{
+  StripHopByHop(aResponse);
+  StripReserved(aResponse);
+  if (!aHeadRequest) {
+    aResponse.prepare_payload();
+  }
+}
+
 std::optional<std::uint64_t>
 ParseNumber(std::string_view aText, std::uint64_t aMaximum)
 {
--- a/packages/node/http_headers.h
+++ b/packages/node/http_headers.h
@@ -48,6 +48,12 @@
 /// that neither keys nor values that only a node may set pass through.
 void StripReserved(http::fields& aFields);
 
+/// Header of a request as it goes on to the next connection: without what concerns this one.
+http::request_header<> NextHeader(const HttpRequest& aRequest);
+
+/// Makes an answer fit for the next connection.
+void PrepareAnswer(HttpResponse& aResponse, bool aHeadRequest);
+
 /// Number of a text of decimal digits up to aMaximum; nothing for anything else.
 std::optional<std::uint64_t> ParseNumber(std::string_view aText, std::uint64_t aMaximum);
 
--- a/packages/node/mesh_io.cc
+++ b/packages/node/mesh_io.cc
@@ -16,12 +16,6 @@
 
 constexpr const char* kHopHeader = "X-Jackdaw-Hop";
 
-std::string_view
-View(beast::string_view aText)
-{
-  return { aText.data(), aText.size() };
-}
-
 std::optional<Tcp::endpoint>
 EndpointOf(const std::string& aHost, std::uint32_t aPort)
 {
@@ -42,17 +36,6 @@
   return response;
 }
 
-/// Makes an answer fit for the next connection.
-void
-PrepareAnswer(HttpResponse& aResponse, bool aHeadRequest)
-{
-  StripHopByHop(aResponse);
-  StripReserved(aResponse);
-  if (!aHeadRequest) {
-    aResponse.prepare_payload();
-  }
-}
-
 } // namespace
 
 MeshIo::Opened
@@ -255,11 +238,8 @@
       this->RejectUnseen(Side::kCallers, { ResultCode::kNodeBusy, "no room for the request" }));
     return;
   }
-  http::request_header<> header(aRequest.base());
-  StripHopByHop(header);
-  header.erase(http::field::content_length);
+  http::request_header<> header = NextHeader(aRequest);
   this->front.stripRequest(header);
-  header.version(11);
   this->Add(exchange,
             Exchange{ .connection = aConnection,
                       .requestId = head.requestId,
@@ -293,11 +273,8 @@
       this->RejectUnseen(Side::kPeers, { ResultCode::kNodeBusy, "no room for the request" }));
     return;
   }
-  http::request_header<> header(aRequest.base());
-  StripHopByHop(header);
-  header.erase(http::field::content_length);
+  http::request_header<> header = NextHeader(aRequest);
   header.erase(kHopHeader);
-  header.version(11);
   this->Add(exchange,
             Exchange{ .connection = aConnection,
                       .hop = true,
--- a/packages/node/net.h
+++ b/packages/node/net.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include <boost/asio/basic_waitable_timer.hpp>
@@ -26,6 +27,12 @@
 using HttpResponse = http::response<http::string_body>;
 using ClockTimer = asio::basic_waitable_timer<Clock>;
 
+inline std::string_view
+View(beast::string_view aText)
+{
+  return { aText.data(), aText.size() };
+}
+
 /// Time after which unacknowledged bytes break a connection. Retransmissions on a lossy link take
 /// a few hundred milliseconds; a silent connection must be noticed within a caller's patience.
 constexpr std::chrono::milliseconds kAcknowledgeLimit{ 800 };
--- a/packages/node/peer_control.cc
+++ b/packages/node/peer_control.cc
@@ -56,7 +56,7 @@
       this->connector,
       [this](PeerMessage aMessage) { this->OnMessage(std::move(aMessage)); },
       [this] { this->report(RingDropped{ "peer_invalid" }); })
-  , sweepTimer(this->io)
+  , connections(this->io, this->pool)
   , messages(kMessageRing, [this] {
     asio::post(this->io, [this] {
       for (const SendPeer& message : this->messages.PopReady()) {
@@ -76,7 +76,7 @@
 PeerControl::Start()
 {
   this->listener->Start([this](Tcp::socket aSocket) { this->Accept(std::move(aSocket)); });
-  this->Sweep();
+  this->connections.StartSweeping();
   this->thread = std::thread([this] { this->io.run(); });
 }
 
@@ -115,9 +115,12 @@
   const ServerConnection::Options options{ .maxHeaderBytes = kMaxHeaderBytes,
                                            .maxBodyBytes = kMaxMessageBytes,
                                            .interim = std::nullopt };
-  std::make_shared<ServerConnection>(
-    std::move(aSocket), this->io, this->budget, this->connectionCount, options, std::move(handlers))
-    ->Start();
+  this->connections.Add(std::make_shared<ServerConnection>(std::move(aSocket),
+                                                           this->io,
+                                                           this->budget,
+                                                           this->connectionCount,
+                                                           options,
+                                                           std::move(handlers)));
 }
 
 void
@@ -216,16 +219,4 @@
   }
 }
 
-void
-PeerControl::Sweep()
-{
-  this->pool.Sweep(Clock::now());
-  this->sweepTimer.expires_after(kSweepInterval);
-  this->sweepTimer.async_wait([this](const ErrorCode& aError) {
-    if (!aError) {
-      this->Sweep();
-    }
-  });
-}
-
 } // namespace jackdawwind::node
--- a/packages/node/peer_control.h
+++ b/packages/node/peer_control.h
@@ -21,6 +21,7 @@
 #include <variant>
 
 #include "node/connection_pool.h"
+#include "node/connection_set.h"
 #include "node/listener.h"
 #include "node/outgoing_exchange.h"
 #include "node/report_item.h"
@@ -58,7 +59,6 @@
   static constexpr std::size_t kMessageRing = 1024;
   /// A message that takes longer is given up; its sender repeats it.
   static constexpr Duration kSendTimeout = std::chrono::milliseconds(500);
-  static constexpr Duration kSweepInterval = std::chrono::seconds(1);
   /// Largest message: the configuration of a fleet of 470 nodes is well below it.
   static constexpr std::uint32_t kMaxMessageBytes = 4U << 20U;
   static constexpr std::uint64_t kMessageMemoryBytes = 32U << 20U;
@@ -79,7 +79,6 @@
   void Enqueue(const SendPeer& aEffect);
   void SendNext(Channels::iterator aChannel);
   void OnSent(const Tcp::endpoint& aEndpoint, const OutgoingResult& aResult);
-  void Sweep();
 
   const NodeSettings& settings;
   Ring<Event>& events;
@@ -92,7 +91,7 @@
   RpcConnector connector;
   RpcServer server;
   Channels channels;
-  ClockTimer sweepTimer;
+  ConnectionSet connections;
   std::unique_ptr<Listener> listener;
   Ring<SendPeer> messages;
   std::thread thread;
--- a/packages/node/peer_exchange.cc
+++ b/packages/node/peer_exchange.cc
@@ -13,12 +13,6 @@
 
 namespace {
 
-std::string_view
-View(beast::string_view aText)
-{
-  return { aText.data(), aText.size() };
-}
-
 std::string
 SealedText(std::string_view aContext,
            std::string_view aMethod,
--- a/packages/node/tests/fake_ends.h
+++ b/packages/node/tests/fake_ends.h
@@ -90,26 +90,15 @@
   Tcp::acceptor acceptor;
 };
 
-/// An I/O thread with the test in the place of the decisions.
-class ProxyFixture : public testing::Test
+/// The test in the place of the decisions: it takes the events of an I/O thread.
+class EventFixture : public testing::Test
 {
 protected:
   static constexpr Duration kPatience = std::chrono::seconds(20);
 
-  explicit ProxyFixture(std::size_t aEventRing = 64)
+  explicit EventFixture(std::size_t aEventRing = 64)
     : events(aEventRing)
-    , settings({ .node = "n",
-                 .domain = "d",
-                 .region = "r",
-                 .adminToken = "t",
-                 .fleetSecret = "secret",
-                 .maxHeaderBytes = 1024,
-                 .maxBodyBytes = 4096,
-                 .bodyMemoryBytes = 8192 })
   {
-    ProxyIo::Opened opened = ProxyIo::Open(this->settings, this->events, [](const ReportItem&) {});
-    this->proxy = std::get<std::unique_ptr<ProxyIo>>(std::move(opened));
-    this->proxy->Start();
   }
 
   FakeConnection Connect(std::uint16_t aPort)
@@ -119,8 +108,6 @@
     return FakeConnection(std::move(socket));
   }
 
-  FakeConnection ConnectCaller() { return this->Connect(this->proxy->ListenPorts().callers); }
-
   /// Next event, which must be of this type.
   template<typename T>
   T Await()
@@ -139,6 +126,33 @@
     return event;
   }
 
+  Ring<Event> events;
+  asio::io_context io;
+  std::deque<Event> waiting;
+};
+
+/// An I/O thread of the product's own interface.
+class ProxyFixture : public EventFixture
+{
+protected:
+  explicit ProxyFixture(std::size_t aEventRing = 64)
+    : EventFixture(aEventRing)
+    , settings({ .node = "n",
+                 .domain = "d",
+                 .region = "r",
+                 .adminToken = "t",
+                 .fleetSecret = "secret",
+                 .maxHeaderBytes = 1024,
+                 .maxBodyBytes = 4096,
+                 .bodyMemoryBytes = 8192 })
+  {
+    ProxyIo::Opened opened = ProxyIo::Open(this->settings, this->events, [](const ReportItem&) {});
+    this->proxy = std::get<std::unique_ptr<ProxyIo>>(std::move(opened));
+    this->proxy->Start();
+  }
+
+  FakeConnection ConnectCaller() { return this->Connect(this->proxy->ListenPorts().callers); }
+
   /// Context of an attempt.
   static CallContext Context(std::uint32_t aAttempt, bool aIdempotent)
   {
@@ -161,11 +175,8 @@
                 .timeout = std::chrono::seconds(20) }));
   }
 
-  Ring<Event> events;
   NodeSettings settings;
   std::unique_ptr<ProxyIo> proxy;
-  asio::io_context io;
-  std::deque<Event> waiting;
 };
 
 } // namespace jackdawwind::node
--- a/packages/util/clock.h
+++ b/packages/util/clock.h
@@ -31,6 +31,13 @@
 
 using Time = Clock::time_point;
 
+/// A time as a number of seconds, for rates and means.
+inline double
+Seconds(Duration aTime)
+{
+  return std::chrono::duration<double>(aTime).count();
+}
+
 /// Pauses the process's clock while it lives; for tests. Only one may live at a time.
 class ManualClock
 {
