--- a/bench/control_cost.cc
+++ b/bench/control_cost.cc
@@ -148,14 +148,14 @@
 {
   const std::string name = "node-" + std::to_string(100 + aIndex);
   const std::string path = this->folder + "/" + name + ".yaml";
-  std::ofstream(path) << "node: " << name << "\ndomain: " << DomainOf(aIndex)
-                      << "\nregion: " << RegionOf(aIndex)
-                      << "\nadvertise_host: " << CountingRelay::kAddress
-                      << "\ncallers: {port: 0}\ntarget: {port: 0}\npeer_calls: {port: 0}\n"
-                      << "peer_control: {port: 0}\nadmin: {port: 0}\nadmin_token: " << kAdminToken
-                      << "\nfleet_secret: bench-fleet-secret\nlog: {host: "
-                      << CountingRelay::kAddress << ", port: " << this->logPort
-                      << ", timeout_ms: 2000}\nlog_level: error\nseeds: [" << this->seed << "]\n";
+  std::ofstream(path)
+    << "node: " << name << "\ndomain: " << DomainOf(aIndex) << "\nregion: " << RegionOf(aIndex)
+    << "\nadvertise_host: " << CountingRelay::kAddress
+    << "\ncallers: {port: 0}\ntarget: {port: 0}\npeer_calls: {port: 0}\n"
+    << "peer_control: {port: 0}\ncontrol_datagrams: false\nadmin: {port: 0}\nadmin_token: "
+    << kAdminToken << "\nfleet_secret: bench-fleet-secret\nlog: {host: " << CountingRelay::kAddress
+    << ", port: " << this->logPort << ", timeout_ms: 2000}\nlog_level: error\nseeds: ["
+    << this->seed << "]\n";
   Node node;
   node.process = std::make_unique<tests::ChildProcess>(
     "jackdawwind", std::vector<std::string>{ "--settings", path });
--- a/packages/decisions/membership/contact_list.cc
+++ b/packages/decisions/membership/contact_list.cc
@@ -44,9 +44,12 @@
 }
 
 void
-ContactList::AddAnnounced(const PeerAddress& aAddress)
+ContactList::AddAnnounced(const PeerAddress& aAddress, bool aNear)
 {
   Contact* contact = this->Insert(aAddress);
+  if (contact != nullptr) {
+    contact->near = aNear;
+  }
   if (contact != nullptr && !contact->seed && !contact->expiresAt) {
     contact->triesLeft = kAnnouncedContactTries;
   }
@@ -88,6 +91,18 @@
 
 std::vector<PeerAddress>
 ContactList::Take(std::size_t aCount, Time aNow, Random& aRandom)
+{
+  return this->Take(aCount, false, aNow, aRandom);
+}
+
+std::vector<PeerAddress>
+ContactList::TakeNear(std::size_t aCount, Time aNow, Random& aRandom)
+{
+  return this->Take(aCount, true, aNow, aRandom);
+}
+
+std::vector<PeerAddress>
+ContactList::Take(std::size_t aCount, bool aNearOnly, Time aNow, Random& aRandom)
 {
   std::erase_if(this->contacts, [aNow](const std::pair<const std::string, Contact>& aEntry) {
     const Contact& contact = aEntry.second;
@@ -96,7 +111,7 @@
   });
   std::vector<Contact*> unreached;
   for (auto& [key, contact] : this->contacts) {
-    if (!contact.reached) {
+    if (!contact.reached && (contact.near || !aNearOnly)) {
       unreached.push_back(&contact);
     }
   }
--- a/packages/decisions/membership/contact_list.h
+++ b/packages/decisions/membership/contact_list.h
@@ -3,6 +3,7 @@
 //
 //   contacts.AddLost(address, now);
 //   std::vector<PeerAddress> addresses = contacts.Take(3, now, random);
+//   std::vector<PeerAddress> near = contacts.TakeNear(2, now, random);
 //
 // A contact is reached while a live member is known at its address. The list is bounded: new
 // contacts are dropped when it is full.
@@ -27,7 +28,8 @@
   /// Seeds never expire.
   void AddSeed(const PeerAddress& aAddress);
   /// Expires after a few tries, because most announcements in the log are of ended processes.
-  void AddAnnounced(const PeerAddress& aAddress);
+  /// aNear: whether the node is in the region of this one.
+  void AddAnnounced(const PeerAddress& aAddress, bool aNear);
   /// Expires after a time longer than partitions between regions last.
   void AddLost(const PeerAddress& aAddress, Time aNow);
   /// A live member has this address: marks a seed as reached and removes other contacts.
@@ -35,6 +37,8 @@
 
   /// Removes expired contacts and returns at most aCount unreached addresses in random order.
   std::vector<PeerAddress> Take(std::size_t aCount, Time aNow, Random& aRandom);
+  /// The same for nodes of this node's region.
+  std::vector<PeerAddress> TakeNear(std::size_t aCount, Time aNow, Random& aRandom);
   /// Number of addresses at which no live member is known.
   std::size_t UnreachedCount() const;
   /// The member at this address died; a seed is tried again.
@@ -46,12 +50,14 @@
     PeerAddress address;
     bool seed = false;
     bool reached = false;
+    bool near = false;
     std::optional<Time> expiresAt;
     std::optional<std::uint32_t> triesLeft;
   };
 
   /// Finds or adds a contact and marks it as unreached; null when the list is full.
   Contact* Insert(const PeerAddress& aAddress);
+  std::vector<PeerAddress> Take(std::size_t aCount, bool aNearOnly, Time aNow, Random& aRandom);
 
   /// By "host:controlPort".
   std::map<std::string, Contact> contacts;
--- a/packages/decisions/membership/membership.cc
+++ b/packages/decisions/membership/membership.cc
@@ -41,6 +41,22 @@
 /// Consecutive table hash mismatches with a peer that start a full exchange.
 constexpr std::uint32_t kMismatchesBeforeSync = 2;
 
+/// A full exchange also follows when the table has matched no peer's for this long without a change
+/// of its own. In a large fleet it takes minutes to meet the same peer twice.
+constexpr Duration kStableMismatchTime = std::chrono::seconds(3);
+
+/// Time after the start in which a node completes its table actively. Its full exchanges may follow
+/// each other sooner, after the first mismatch, and it does not gossip the members that it learns
+/// of: after a start of the whole fleet every node would send every other one's record many times.
+constexpr Duration kJoinTime = std::chrono::seconds(10);
+constexpr Duration kJoinSyncInterval = std::chrono::seconds(2);
+
+/// Rounds in which a node that has started asks contacts for their tables, and the time between
+/// them. If a whole fleet starts, each round multiplies what its nodes know by the number of
+/// contacts asked, so that six rounds are enough for a thousand nodes.
+constexpr std::uint32_t kMaxJoinRounds = 6;
+constexpr Duration kJoinRoundInterval = std::chrono::milliseconds(300);
+
 /// Nodes per period that are notified of an unconfirmed death, in addition to the probed one.
 constexpr std::size_t kMaxDeathNotices = 5;
 
@@ -97,6 +113,8 @@
 Membership::Start(Time aNow, Effects& aEffects)
 {
   this->started = true;
+  this->startedAt = aNow;
+  this->changedAt = aNow;
   this->syncAllowedAt = aNow;
   const std::uint64_t period = static_cast<std::uint64_t>(this->options.period.count());
   // Random phase, so that nodes started together do not probe at the same time.
@@ -177,18 +195,54 @@
 }
 
 void
-Membership::HandleAnnouncement(const NodeAnnounced& aAnnounced, Time aNow, Effects& aEffects)
+Membership::HandleAnnouncements(const std::vector<NodeAnnounced>& aAnnounced,
+                                Time aNow,
+                                Effects& aEffects)
+{
+  for (const NodeAnnounced& announced : aAnnounced) {
+    const Member* known = this->table.Find(announced.Address().Node());
+    if (known == nullptr || known->Incarnation() < announced.Incarnation()) {
+      // The process may have ended since the announcement; it enters the table only when it
+      // answers.
+      this->contacts.AddAnnounced(announced.Address(),
+                                  announced.Region() == this->options.self.Region());
+    }
+  }
+  // One round for all announcements: every contact answers with its whole table.
+  if (this->started && this->joinRounds == 0 && this->IsMissingMembers()) {
+    this->joinRounds = kMaxJoinRounds;
+    this->nextJoinRound = aNow;
+    this->ContinueJoin(aNow, aEffects);
+  }
+}
+
+bool
+Membership::IsJoining(Time aNow) const
 {
-  const PeerAddress& address = aAnnounced.Address();
-  const Member* known = this->table.Find(address.Node());
-  if (known != nullptr && known->Incarnation() >= aAnnounced.Incarnation()) {
-    return;
+  return aNow - this->startedAt < kJoinTime;
+}
+
+bool
+Membership::IsMissingMembers() const
+{
+  // Registers keep the entries of processes that ended; a few unreached contacts are normal.
+  constexpr std::size_t kMembersPerMissing = 10;
+  return this->contacts.UnreachedCount() * kMembersPerMissing > this->table.LiveCount();
+}
+
+void
+Membership::ContinueJoin(Time aNow, Effects& aEffects)
+{
+  if (!this->IsMissingMembers()) {
+    this->joinRounds = 0;
   }
-  // The process may have ended since the announcement; it enters the table only when it answers.
-  this->contacts.AddAnnounced(address);
-  if (this->started && this->table.LiveCount() == 1 && aNow >= this->syncAllowedAt) {
-    this->SyncWithContacts(aEffects, aNow);
+  if (this->joinRounds == 0) {
+    this->nextJoinRound = Time::max();
+    return;
   }
+  --this->joinRounds;
+  this->nextJoinRound = aNow + kJoinRoundInterval;
+  this->SyncWithContacts(aEffects, aNow);
 }
 
 void
@@ -254,6 +308,9 @@
   if (aNow >= this->nextPeriod) {
     this->BeginPeriod(aNow, aEffects);
   }
+  if (aNow >= this->nextJoinRound) {
+    this->ContinueJoin(aNow, aEffects);
+  }
   if (aNow >= this->pushDue) {
     this->PushChanges(aNow, aEffects);
   }
@@ -265,7 +322,8 @@
   if (!this->started) {
     return Time::max();
   }
-  Time wake = std::min({ this->nextPeriod, this->detector.NextDue(), this->pushDue });
+  Time wake =
+    std::min({ this->nextPeriod, this->detector.NextDue(), this->pushDue, this->nextJoinRound });
   for (const auto& [node, time] : this->forgetAt) {
     wake = std::min(wake, time);
   }
@@ -352,9 +410,13 @@
                          Effects& aEffects)
 {
   const std::string& node = aChange.after.Address().Node();
-  this->queue.Add(node);
-  if (IsUrgent(aChange)) {
-    this->SchedulePush(node, aLocalOrigin, aNow);
+  this->changedAt = aNow;
+  const bool alreadyMember = aChange.before.has_value();
+  if (alreadyMember || !this->IsJoining(aNow)) {
+    this->queue.Add(node);
+    if (IsUrgent(aChange)) {
+      this->SchedulePush(node, aLocalOrigin, aNow);
+    }
   }
   this->forgetAt.erase(node);
   this->unconfirmedDeaths.erase(node);
@@ -497,14 +559,18 @@
 {
   if (aHash == this->table.Hash()) {
     this->hashMismatches.erase(aPeer.Node());
+    this->agreedAt = aNow;
     return;
   }
   const std::uint32_t mismatches = ++this->hashMismatches[aPeer.Node()];
-  if ((mismatches < kMismatchesBeforeSync && !aWasUnknown) || aNow < this->syncAllowedAt) {
+  const bool joining = this->IsJoining(aNow);
+  const bool stable = aNow - std::max(this->agreedAt, this->changedAt) >= kStableMismatchTime;
+  if ((mismatches < kMismatchesBeforeSync && !aWasUnknown && !joining && !stable) ||
+      aNow < this->syncAllowedAt) {
     return;
   }
   this->hashMismatches.erase(aPeer.Node());
-  this->syncAllowedAt = aNow + kSyncInterval;
+  this->syncAllowedAt = aNow + (joining ? kJoinSyncInterval : kSyncInterval);
   std::vector<Member> all;
   for (const auto& [node, member] : this->table.All()) {
     all.push_back(member);
@@ -559,7 +625,16 @@
 void
 Membership::SyncWithContacts(Effects& aEffects, Time aNow)
 {
-  for (const PeerAddress& contact : this->contacts.Take(kJoinContacts, aNow, this->random)) {
+  // One contact of any region is enough to find the other regions; tables cost much on the links
+  // between them.
+  std::vector<PeerAddress> chosen = this->contacts.TakeNear(kJoinContacts - 1, aNow, this->random);
+  for (const PeerAddress& contact :
+       this->contacts.Take(kJoinContacts - chosen.size(), aNow, this->random)) {
+    if (std::find(chosen.begin(), chosen.end(), contact) == chosen.end()) {
+      chosen.push_back(contact);
+    }
+  }
+  for (const PeerAddress& contact : chosen) {
     this->SendSync(contact, { this->Self() }, true, aEffects);
   }
 }
--- a/packages/decisions/membership/membership.h
+++ b/packages/decisions/membership/membership.h
@@ -63,8 +63,11 @@
   void Receive(const ProbeAck& aAck, Time aNow, Effects& aEffects);
   void Receive(const ProbeRequest& aRequest, Time aNow, Effects& aEffects);
   void Receive(const MemberSync& aSync, Time aNow, Effects& aEffects);
-  /// Adds an announced node as a contact; it becomes a member when it answers.
-  void HandleAnnouncement(const NodeAnnounced& aAnnounced, Time aNow, Effects& aEffects);
+  /// Adds announced nodes as contacts; they become members when they answer. A node that knows no
+  /// other member contacts a few of them at once.
+  void HandleAnnouncements(const std::vector<NodeAnnounced>& aAnnounced,
+                           Time aNow,
+                           Effects& aEffects);
 
   /// Reports that a message to a node went unanswered. The node is probed next, at once if no probe
   /// is in flight, so that calls reveal a dead node sooner than the regular probes.
@@ -95,6 +98,12 @@
   /// Stores this node's record with the next version and schedules its push.
   void UpdateSelf(Member::Fields aFields, Time aNow);
 
+  bool IsJoining(Time aNow) const;
+  /// Whether many announced nodes are not members.
+  bool IsMissingMembers() const;
+  /// Runs the next round of a join, or ends it.
+  void ContinueJoin(Time aNow, Effects& aEffects);
+
   void MergeAll(const std::vector<Member>& aMembers, Time aNow, Effects& aEffects);
   /// Refutes a record of this process that supersedes its own, by taking a higher version.
   void MergeSelf(const Member& aRecord, Time aNow, Effects& aEffects);
@@ -155,6 +164,10 @@
   FailureDetector detector;
   ContactList contacts;
   bool started = false;
+  Time startedAt{};
+  /// Rounds left of a join, and the time of the next one; Time::max() when there is none.
+  std::uint32_t joinRounds = 0;
+  Time nextJoinRound = Time::max();
   std::uint64_t configOffset = 0;
   Time nextPeriod{};
   /// Node that did not answer a message; probed next.
@@ -170,6 +183,9 @@
   std::map<std::string, Time> forgetAt;
   /// Active members that other nodes report as dead, with the record to refute.
   std::map<std::string, Member> unconfirmedDeaths;
+  /// Time of the last change of a member, and time at which the table last matched a peer's.
+  Time changedAt{};
+  Time agreedAt{};
   /// Consecutive table hash mismatches by peer.
   std::map<std::string, std::uint32_t> hashMismatches;
 };
--- a/packages/decisions/mesh/configuration_gossip.cc
+++ b/packages/decisions/mesh/configuration_gossip.cc
@@ -9,9 +9,12 @@
 
 namespace {
 
-/// Peers to which a node offers a new version. Gossip with this fanout misses about 1 % of the
-/// nodes; those learn the version from probes.
-constexpr std::size_t kOfferFanout = 4;
+/// Peers of each distance to which a node offers a new version. Gossip with four offers misses
+/// about 1 % of the nodes; those learn the version from probes. Most offers stay near, because a
+/// peer that needs the version loads the whole configuration over the same link.
+constexpr std::size_t kOwnDomainOffers = 2;
+constexpr std::size_t kOwnRegionOffers = 1;
+constexpr std::size_t kOtherRegionOffers = 1;
 /// Delay before the same version is requested again.
 constexpr Duration kRequestRetryDelay = std::chrono::milliseconds(200);
 
@@ -32,6 +35,9 @@
     return false;
   }
   this->table = std::make_shared<const RouteTable>(aConfiguration);
+  if (this->requestedVersion <= this->Version()) {
+    this->behindSince = Time::max();
+  }
   this->Offer(aMembers, aEffects);
   return true;
 }
@@ -39,19 +45,51 @@
 void
 ConfigurationGossip::Offer(const Members& aMembers, Effects& aEffects)
 {
-  std::vector<PeerAddress> peers;
+  const Members::const_iterator own = aMembers.find(this->self.Node());
+  if (own == aMembers.end()) {
+    return;
+  }
+  std::vector<PeerAddress> ownDomain;
+  std::vector<PeerAddress> ownRegion;
+  std::vector<PeerAddress> otherRegion;
   for (const Members::value_type& entry : aMembers) {
-    if (entry.first != this->self.Node() && entry.second.State() == NodeState::kAlive) {
-      peers.push_back(entry.second.Address());
+    const Member& member = entry.second;
+    if (entry.first == this->self.Node() || member.State() != NodeState::kAlive) {
+      continue;
+    }
+    if (member.GetDomain() == own->second.GetDomain()) {
+      ownDomain.push_back(member.Address());
+    } else if (member.Region() == own->second.Region()) {
+      ownRegion.push_back(member.Address());
+    } else {
+      otherRegion.push_back(member.Address());
     }
   }
-  for (std::size_t sent = 0; sent < kOfferFanout && !peers.empty(); ++sent) {
-    const std::size_t index = this->random.Below(peers.size());
+  // Offers that a distance has no peers for go to the next one.
+  std::size_t left = this->OfferTo(std::move(ownDomain), kOwnDomainOffers, aEffects);
+  left = this->OfferTo(std::move(ownRegion), kOwnRegionOffers + left, aEffects);
+  this->OfferTo(std::move(otherRegion), kOtherRegionOffers + left, aEffects);
+}
+
+std::size_t
+ConfigurationGossip::OfferTo(std::vector<PeerAddress> aPeers, std::size_t aCount, Effects& aEffects)
+{
+  std::size_t left = aCount;
+  while (left > 0 && !aPeers.empty()) {
+    const std::size_t index = this->random.Below(aPeers.size());
     aEffects.push_back(SendPeer(
-      { .to = peers[index],
+      { .to = aPeers[index],
         .message = MeshConfigOffer({ .sender = this->self, .version = this->Version() }) }));
-    peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(index));
+    aPeers.erase(aPeers.begin() + static_cast<std::ptrdiff_t>(index));
+    --left;
   }
+  return left;
+}
+
+bool
+ConfigurationGossip::IsBehind(Time aNow) const
+{
+  return this->behindSince != Time::max() && aNow - this->behindSince >= kBehindTime;
 }
 
 void
@@ -64,6 +102,7 @@
     return;
   }
   this->requestedVersion = aVersion;
+  this->behindSince = std::min(this->behindSince, aNow);
   this->retryAt = aNow + kRequestRetryDelay;
   aEffects.push_back(
     SendPeer({ .to = aPeer,
--- a/packages/decisions/mesh/configuration_gossip.h
+++ b/packages/decisions/mesh/configuration_gossip.h
@@ -5,14 +5,16 @@
 //   if (gossip.Adopt(configuration, members, effects)) { ... a newer version is in effect ... }
 //
 // The version never decreases. A node that adopts a new version offers it to a few random peers,
-// which do the same. Every probe carries the sender's version as well, and a node that learns of a
-// newer version than its own requests the configuration from that peer.
+// most of them near, which do the same. Every probe carries the sender's version as well, and a
+// node that learns of a newer version than its own requests the configuration from that peer.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "decisions/effects.h"
 #include "decisions/mesh/route_table.h"
@@ -37,14 +39,22 @@
   /// Sends the configuration to the requesting peer if it is newer than the peer's.
   void Receive(const MeshConfigWant& aWant, Effects& aEffects) const;
 
+  /// Whether a peer has had a newer version for kBehindTime, which this node did not get from it.
+  bool IsBehind(Time aNow) const;
+
   /// Routes of the current configuration; null before the first one.
   const RouteTable* Table() const { return this->table.get(); }
   /// Version of the current configuration; 0 before the first one.
   std::uint64_t Version() const { return this->table ? this->table->Version() : 0; }
 
 private:
+  /// Several times as long as a peer takes to answer a request.
+  static constexpr Duration kBehindTime = std::chrono::milliseconds(500);
+
   /// Sends an offer of the current version to random alive peers.
   void Offer(const Members& aMembers, Effects& aEffects);
+  /// Sends offers to up to aCount of the peers; returns how many are left over.
+  std::size_t OfferTo(std::vector<PeerAddress> aPeers, std::size_t aCount, Effects& aEffects);
 
   PeerAddress self;
   Random random;
@@ -52,6 +62,8 @@
   /// Newest version requested, and the time from which it may be requested again.
   std::uint64_t requestedVersion = 0;
   Time retryAt{};
+  /// Time at which a version newer than the own was first noticed; Time::max() if there is none.
+  Time behindSince = Time::max();
 };
 
 } // namespace jackdawwind
--- a/packages/decisions/mesh/mesh_core.cc
+++ b/packages/decisions/mesh/mesh_core.cc
@@ -11,6 +11,7 @@
 #include "decisions/graceful_shutdown.h"
 #include "decisions/membership/membership.h"
 #include "decisions/mesh/entry_requests.h"
+#include "decisions/mesh/store_readers.h"
 
 namespace jackdawwind {
 
@@ -95,6 +96,20 @@
                       servingAt });
   }
 
+  Distance DistanceTo(const std::string& aNode) const
+  {
+    const std::map<std::string, Member>::const_iterator found =
+      this->membership.Members().find(aNode);
+    if (found == this->membership.Members().end()) {
+      return Distance::kUnknown;
+    }
+    if (found->second.GetDomain() == this->options.domain) {
+      return Distance::kOwnDomain;
+    }
+    return found->second.Region() == this->options.region ? Distance::kOwnRegion
+                                                          : Distance::kOtherRegion;
+  }
+
 private:
   void On(const MeshRequestArrived& aEvent, Time aNow, Effects& aEffects)
   {
@@ -150,10 +165,11 @@
     std::set<std::string> registered{ this->options.self.Node() };
     for (const NodeAnnounced& peer : aEvent.Peers()) {
       registered.insert(peer.Address().Node());
-      this->membership.HandleAnnouncement(peer, aNow, aEffects);
     }
+    this->membership.HandleAnnouncements(aEvent.Peers(), aNow, aEffects);
     this->quota.SetRegistered(std::move(registered));
     this->quota.SetMembers(this->membership.Members(), aNow);
+    this->budget.SetNodeCount(this->quota.ExpectedNodes());
   }
   void On(const PeerReceived& aEvent, Time aNow, Effects& aEffects)
   {
@@ -276,6 +292,7 @@
     for (const std::string& node : this->quota.TakeUnresponsiveOwners()) {
       this->membership.ReportUnresponsive(node, aNow);
     }
+    this->UpdateStoreReader(aNow, aEffects);
     this->AdvanceShutdown(aNow, aEffects);
     this->PublishPhase(aNow, aEffects);
     for (const Effect& effect : aEffects) {
@@ -291,8 +308,21 @@
       return;
     }
     this->appliedChanges = this->membership.ChangeCount();
+    this->elected = IsStoreReader(this->options.self.Node(), this->membership.Members());
     this->quota.SetMembers(this->membership.Members(), aNow);
-    this->budget.SetNodeCount(this->membership.Members().size());
+    this->budget.SetNodeCount(this->quota.ExpectedNodes());
+  }
+
+  /// Follows the store while this node is a reader of its domain, has no configuration, or misses
+  /// one that its peers have.
+  void UpdateStoreReader(Time aNow, Effects& aEffects)
+  {
+    const bool wanted = this->elected || this->configuration.Table() == nullptr ||
+                        this->configuration.IsBehind(aNow) || this->quota.IsIsolated(aNow);
+    if (wanted != this->followsStore) {
+      this->followsStore = wanted;
+      aEffects.push_back(FollowStore({ .active = wanted }));
+    }
   }
 
   void AdvanceShutdown(Time aNow, Effects& aEffects)
@@ -354,6 +384,9 @@
   Phase phase = Phase::kBooting;
   Time startedAt{};
   std::uint64_t appliedChanges = 0;
+  /// Whether this node is one of the store's readers in its domain.
+  bool elected = true;
+  bool followsStore = true;
 };
 
 MeshCore::MeshCore(Options aOptions)
@@ -381,4 +414,10 @@
   return this->impl->NextWake();
 }
 
+Distance
+MeshCore::DistanceTo(const std::string& aNode) const
+{
+  return this->impl->DistanceTo(aNode);
+}
+
 } // namespace jackdawwind
--- a/packages/decisions/mesh/mesh_core.h
+++ b/packages/decisions/mesh/mesh_core.h
@@ -51,6 +51,8 @@
   Effects Handle(const Event& aEvent, Time aNow);
   /// Time at which Handle(TimerFired) is due.
   Time NextWake() const;
+  /// Distance of another node.
+  Distance DistanceTo(const std::string& aNode) const;
 
 private:
   class Impl;
--- a/packages/decisions/mesh/quota_pool.h
+++ b/packages/decisions/mesh/quota_pool.h
@@ -81,6 +81,12 @@
   /// Nodes that are registered in the store, this one included.
   void SetRegistered(std::set<std::string> aNodes) { this->fleet.SetRegistered(std::move(aNodes)); }
 
+  /// Number of nodes in the whole fleet; an upper bound until the register is known.
+  std::size_t ExpectedNodes() const { return this->fleet.Expected(); }
+
+  /// Whether this node reaches no other node.
+  bool IsIsolated(Time aNow) const { return this->fleet.IsIsolated(aNow); }
+
   /// Notes that a message of another node arrived.
   void NotePeerMessage(Time aNow) { this->fleet.NotePeerMessage(aNow); }
 
--- a/packages/decisions/node_core.cc
+++ b/packages/decisions/node_core.cc
@@ -304,9 +304,7 @@
 
   void ApplyAnnouncements(Time aNow, Effects& aEffects)
   {
-    for (const NodeAnnounced& announcement : this->control.TakeAnnouncements()) {
-      this->membership.HandleAnnouncement(announcement, aNow, aEffects);
-    }
+    this->membership.HandleAnnouncements(this->control.TakeAnnouncements(), aNow, aEffects);
   }
 
   void ApplyConfiguration(Time aNow)
--- a/packages/decisions/tests/membership_fleet_test.cc
+++ b/packages/decisions/tests/membership_fleet_test.cc
@@ -317,9 +317,9 @@
   fleet.Run(seconds(10));
   EXPECT_EQ(fleet.At(Name(1)).Members().size(), 1U);
   fleet.Invoke(Name(1), [&first](Membership& aMember, Time aNow, Effects& aEffects) {
-    aMember.HandleAnnouncement(
-      NodeAnnounced(
-        { .address = first, .domain = kDomainNames[0], .region = "lagos", .incarnation = 1 }),
+    aMember.HandleAnnouncements(
+      { NodeAnnounced(
+        { .address = first, .domain = kDomainNames[0], .region = "lagos", .incarnation = 1 }) },
       aNow,
       aEffects);
   });
--- a/packages/decisions/tests/membership_rules_test.cc
+++ b/packages/decisions/tests/membership_rules_test.cc
@@ -232,6 +232,7 @@
 
 TEST_F(MembershipRules, SyncsAfterTwoHashMismatchesAtMostOnceInFiveSeconds)
 {
+  this->now += seconds(10); // past the join, in which one mismatch is enough
   this->ReceiveMembers({ Record("a", 1, 0), Record("b", 1, 0) });
   const auto receiveAck = [this](const std::string& aNode, std::uint64_t aHash) {
     this->effects.clear();
@@ -256,6 +257,24 @@
   EXPECT_EQ(receiveAck("b", 1), 1U);
 }
 
+TEST_F(MembershipRules, SyncsAfterOneHashMismatchWhenNothingHasChangedForThreeSeconds)
+{
+  // Guards against tables that stay different in a large fleet, where a node meets the same peer
+  // only every few minutes.
+  this->now += seconds(10);
+  this->ReceiveMembers({ Record("a", 1, 0), Record("b", 1, 0) });
+  const auto syncsAfterAck = [this](const std::string& aNode) {
+    this->effects.clear();
+    this->member.Receive(
+      ProbeAck({ .sequence = 9999, .subject = aNode, .tableHash = 1 }), this->now, this->effects);
+    return this->Sent<MemberSync>().size();
+  };
+  this->now += milliseconds(2900);
+  EXPECT_EQ(syncsAfterAck("a"), 0U);
+  this->now += milliseconds(200);
+  EXPECT_EQ(syncsAfterAck("b"), 1U);
+}
+
 TEST_F(MembershipRules, UnansweredProbeLeadsToIndirectProbesSuspicionAndDeath)
 {
   this->ReceiveMembers({ Record("a", 1, 0) });
--- a/packages/node/connection_set.h
+++ b/packages/node/connection_set.h
@@ -33,7 +33,9 @@
   void FlushAndStop(Time aDeadline);
 
 private:
-  static constexpr Duration kSweepInterval = std::chrono::seconds(1);
+  /// A sweep makes a system call for each idle connection, and in a large fleet a node has many.
+  /// Take() checks a connection before it is used, so a sweep only frees descriptors.
+  static constexpr Duration kSweepInterval = std::chrono::seconds(10);
   static constexpr Duration kFlushCheckInterval = std::chrono::milliseconds(5);
 
   asio::io_context& io;
--- a/packages/node/decision_loop.h
+++ b/packages/node/decision_loop.h
@@ -31,6 +31,8 @@
   /// Set only in a node that routes by host name and path.
   std::function<void(MeshEffect)> mesh = nullptr;
   std::function<void(const SendPeer&)> peers;
+  /// Set only in a node on a platform with a store.
+  std::function<void(const FollowStore&)> followStore = nullptr;
   std::function<void(const AppendLog&)> append;
   std::function<void(const FollowLog&)> follow;
   std::function<void(const StopFollowing&)> stopFollowing;
@@ -63,6 +65,7 @@
   void operator()(const CancelSend& aEffect) const { this->routes.mesh(aEffect); }
   void operator()(const ForgetExchange& aEffect) const { this->routes.mesh(aEffect); }
   void operator()(const SendPeer& aEffect) const { this->routes.peers(aEffect); }
+  void operator()(const FollowStore& aEffect) const { this->routes.followStore(aEffect); }
   void operator()(const AppendLog& aEffect) const { this->routes.append(aEffect); }
   void operator()(const FollowLog& aEffect) const { this->routes.follow(aEffect); }
   void operator()(const StopFollowing& aEffect) const { this->routes.stopFollowing(aEffect); }
--- a/packages/node/log_writer.cc
+++ b/packages/node/log_writer.cc
@@ -39,8 +39,13 @@
   el::Loggers::reconfigureLogger(kLoggerName, configuration);
 }
 
+LogWriter::~LogWriter()
+{
+  this->Flush();
+}
+
 void
-LogWriter::Write(LogEvent aEvent, const std::string& aDetail) const
+LogWriter::Write(LogEvent aEvent, const std::string& aDetail)
 {
   const LogLevel level = LevelOf(aEvent);
   if (level < this->minLevel) {
@@ -53,20 +58,21 @@
   if (!aDetail.empty()) {
     line += " " + ReplaceControlCharacters(aDetail);
   }
-  switch (level) {
-    case LogLevel::kDebug:
-      CLOG(DEBUG, kLoggerName) << line;
-      break;
-    case LogLevel::kInfo:
-      CLOG(INFO, kLoggerName) << line;
-      break;
-    case LogLevel::kWarning:
-      CLOG(WARNING, kLoggerName) << line;
-      break;
-    case LogLevel::kError:
-      CLOG(ERROR, kLoggerName) << line;
-      break;
+  this->lines += this->lines.empty() ? line : "\n" + line;
+  if (this->lines.size() > kMaxBufferedBytes) {
+    this->Flush();
+  }
+}
+
+void
+LogWriter::Flush()
+{
+  if (this->lines.empty()) {
+    return;
   }
+  // The library adds only the end of the last line; the level of each event is in its own line.
+  CLOG(INFO, kLoggerName) << this->lines;
+  this->lines.clear();
 }
 
 } // namespace jackdawwind::node
--- a/packages/node/main.cc
+++ b/packages/node/main.cc
@@ -60,7 +60,7 @@
 {
   NodeProcess::OpenResult opened = NodeProcess::Open(aSettings);
   if (const ListenError* error = std::get_if<ListenError>(&opened)) {
-    const LogWriter log(aSettings.GetLogLevel(), aSettings.Node());
+    LogWriter log(aSettings.GetLogLevel(), aSettings.Node());
     log.Write(LogEvent::kListenerFailed,
               "address=" + error->address + " reason=\"" + error->reason + "\"");
     return EXIT_FAILURE;
@@ -97,7 +97,7 @@
   const wire::YamlResult<NodeSettings> settings =
     wire::LoadNodeSettings(arguments["settings"].as<std::string>());
   if (const YamlError* error = std::get_if<YamlError>(&settings)) {
-    const LogWriter log(LogLevel::kInfo, "none");
+    LogWriter log(LogLevel::kInfo, "none");
     log.Write(LogEvent::kSettingsRejected, "reason=\"" + wire::Describe(*error) + "\"");
     return EXIT_FAILURE;
   }
--- a/packages/node/mesh_front_end.h
+++ b/packages/node/mesh_front_end.h
@@ -40,8 +40,9 @@
   std::function<void(http::request_header<>&)> stripRequest;
   /// Adds the header fields that a target expects.
   std::function<void(http::request_header<>&, const CallTarget&)> writeTargetRequest;
-  /// Whether a target's answer belongs to the request with this id.
-  std::function<bool(const HttpResponse&, const std::string&)> answersRequest;
+  /// Whether a target's answer belongs to the request with this id. The last argument is true if
+  /// no other request was sent on the connection before.
+  std::function<bool(const HttpResponse&, const std::string&, bool)> answersRequest;
   /// Classifies a target's answer.
   std::function<TargetReplied(const HttpResponse&)> readReply;
   /// Answer that rejects a caller's request; the text is the request id.
--- a/packages/node/mesh_io.cc
+++ b/packages/node/mesh_io.cc
@@ -390,8 +390,9 @@
     .silenceLimit = std::nullopt,
     .allowCloseDelimited = true,
     .matchesRequest =
-      [frontEnd = &this->frontEnd, id = found->second.requestId](const HttpResponse& aResponse) {
-        return frontEnd->answersRequest(aResponse, id);
+      [frontEnd = &this->frontEnd, id = found->second.requestId](const HttpResponse& aResponse,
+                                                                 bool aFirstOnConnection) {
+        return frontEnd->answersRequest(aResponse, id, aFirstOnConnection);
       },
   };
   this->frontEnd.writeTargetRequest(request.header, aEffect);
--- a/packages/node/mesh_process.cc
+++ b/packages/node/mesh_process.cc
@@ -95,7 +95,7 @@
 }
 
 void
-MeshProcess::Start(std::function<void()> aDrained)
+MeshProcess::Start(Handlers aHandlers)
 {
   MeshCore::Options options;
   options.self = this->Announcement().Address();
@@ -119,12 +119,12 @@
   this->peers->Start();
   this->mesh->Start();
   this->loop = std::make_unique<DecisionLoop<MeshCore>>(
-    *this->core, this->events, this->Routes(std::move(aDrained)));
+    *this->core, this->events, this->Routes(std::move(aHandlers)));
   this->loop->Start();
 }
 
 EffectRoutes
-MeshProcess::Routes(std::function<void()> aDrained)
+MeshProcess::Routes(Handlers aHandlers)
 {
   EffectRoutes routes;
   // Of the proxy effects, this kind of node produces only ForgetPeer and PhaseChanged.
@@ -136,9 +136,14 @@
     }
   };
   routes.mesh = [this](MeshEffect aEffect) { this->mesh->Submit(std::move(aEffect)); };
-  routes.peers = [this](const SendPeer& aEffect) { this->peers->Submit(aEffect); };
+  routes.peers = [this](const SendPeer& aEffect) {
+    this->peers->Submit(aEffect, this->core->DistanceTo(aEffect.To().Node()));
+  };
+  routes.followStore = [follow = std::move(aHandlers.followStore)](const FollowStore& aEffect) {
+    follow(aEffect.Active());
+  };
   routes.report = [this](ReportItem aItem) { this->reporting->Submit(std::move(aItem)); };
-  routes.drained = std::move(aDrained);
+  routes.drained = std::move(aHandlers.drained);
   return routes;
 }
 
--- a/packages/node/mesh_process.h
+++ b/packages/node/mesh_process.h
@@ -36,8 +36,17 @@
   MeshProcess(const MeshProcess&) = delete;
   MeshProcess& operator=(const MeshProcess&) = delete;
 
-  /// Starts all threads; aDrained runs on the decision thread when the process may exit.
-  void Start(std::function<void()> aDrained);
+  /// Called on the decision thread.
+  struct Handlers
+  {
+    /// The process may exit.
+    std::function<void()> drained;
+    /// Sets whether the node follows the platform's store.
+    std::function<void(bool)> followStore;
+  };
+
+  /// Starts all threads.
+  void Start(Handlers aHandlers);
   /// Queues an event for the decision thread; false when the ring is full.
   bool Submit(Event aEvent) { return this->events.TryPush(std::move(aEvent)); }
   /// Requests a drain; false when the event ring is full, so that the caller has to retry.
@@ -53,7 +62,7 @@
   /// Capacity in events; larger than the limit of requests in progress.
   static constexpr std::size_t kEventRingCapacity = 16384;
 
-  EffectRoutes Routes(std::function<void()> aDrained);
+  EffectRoutes Routes(Handlers aHandlers);
 
   MeshSettings settings;
   MeshFrontEnd frontEnd;
--- a/packages/node/metrics.cc
+++ b/packages/node/metrics.cc
@@ -60,6 +60,15 @@
   return ++this->drops[aRing];
 }
 
+void
+Metrics::Count(const ControlTraffic& aTraffic)
+{
+  std::pair<std::uint64_t, std::uint64_t>& total =
+    this->control[{ aTraffic.kind, aTraffic.distance }];
+  total.first += aTraffic.messages;
+  total.second += aTraffic.bytes;
+}
+
 std::string
 Metrics::OrganisationLabel(const std::string& aOrganisation)
 {
@@ -127,6 +136,16 @@
     out << "jackdawwind_drops_total{ring=\"" << EscapeLabelValue(entry.first) << "\"} "
         << entry.second << "\n";
   }
+  out << "# TYPE jackdawwind_control_messages_total counter\n";
+  for (const auto& [key, total] : this->control) {
+    out << "jackdawwind_control_messages_total{kind=\"" << key.first << "\",distance=\""
+        << key.second << "\"} " << total.first << "\n";
+  }
+  out << "# TYPE jackdawwind_control_bytes_total counter\n";
+  for (const auto& [key, total] : this->control) {
+    out << "jackdawwind_control_bytes_total{kind=\"" << key.first << "\",distance=\"" << key.second
+        << "\"} " << total.second << "\n";
+  }
   return out.str();
 }
 
--- a/packages/node/metrics.h
+++ b/packages/node/metrics.h
@@ -18,12 +18,14 @@
 #include <set>
 #include <string>
 #include <tuple>
+#include <utility>
 
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
 
+#include "node/report_item.h"
 #include "values/generated/calls.h"
 
 namespace jackdawwind::node {
@@ -79,6 +81,8 @@
   void CountRefusal(ResultCode aCode);
   /// Counts a drop; returns the new total of this ring or cause.
   std::uint64_t CountDrop(const std::string& aRing);
+  /// Adds to the counters of control messages.
+  void Count(const ControlTraffic& aTraffic);
   /// All metrics in the Prometheus text format, version 0.0.4.
   std::string Text() const;
 
@@ -108,6 +112,8 @@
   std::map<Series, CallHistograms> histograms;
   std::map<ResultCode, std::uint64_t> results;
   std::map<std::string, std::uint64_t> drops;
+  /// Control messages sent and their bytes, by kind and distance.
+  std::map<std::pair<std::string, Distance>, std::pair<std::uint64_t, std::uint64_t>> control;
   std::uint64_t retries = 0;
 };
 
--- a/packages/node/node_process.cc
+++ b/packages/node/node_process.cc
@@ -81,7 +81,7 @@
 {
   return {
     .proxy = [this](ProxyEffect aEffect) { this->proxy->Submit(std::move(aEffect)); },
-    .peers = [this](const SendPeer& aEffect) { this->peers->Submit(aEffect); },
+    .peers = [this](const SendPeer& aEffect) { this->peers->Submit(aEffect, Distance::kUnknown); },
     .append = [this](const AppendLog& aEffect) { this->Append(aEffect); },
     .follow = [this](const FollowLog& aEffect) { this->SubmitLogCommand(aEffect); },
     .stopFollowing = [this](const StopFollowing& aEffect) { this->SubmitLogCommand(aEffect); },
--- a/packages/node/outgoing_exchange.cc
+++ b/packages/node/outgoing_exchange.cc
@@ -209,7 +209,8 @@
     this->ReadAnswer();
     return;
   }
-  if (this->request.matchesRequest && !this->request.matchesRequest(this->parser->get())) {
+  if (this->request.matchesRequest &&
+      !this->request.matchesRequest(this->parser->get(), !this->reused)) {
     ++this->strayAnswers;
     if (this->strayAnswers > kMaxStrayAnswers || !this->parser->get().keep_alive()) {
       this->Finish(ConnectionBroken{});
--- a/packages/node/outgoing_exchange.h
+++ b/packages/node/outgoing_exchange.h
@@ -56,8 +56,9 @@
   bool allowCloseDelimited = false;
   /// Whether an answer belongs to this request; null to accept any. Other answers are read and
   /// dropped: a faulty target may send an answer twice, and the duplicate precedes the answer to
-  /// the next request on the connection.
-  std::function<bool(const HttpResponse&)> matchesRequest = nullptr;
+  /// the next request on the connection. The second argument is true if no other request was sent
+  /// on the connection before.
+  std::function<bool(const HttpResponse&, bool)> matchesRequest = nullptr;
 };
 
 /// An answer received to its end, with the memory reserved for its body.
--- a/packages/node/report_item.h
+++ b/packages/node/report_item.h
@@ -1,11 +1,13 @@
 // Items that the other threads send to the reporting thread.
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <string>
 #include <utility>
 #include <variant>
+#include <vector>
 
 #include "values/generated/calls.h"
 
@@ -31,8 +33,34 @@
   friend bool operator==(const EarlyRefusal&, const EarlyRefusal&) = default;
 };
 
-using ReportItem =
-  std::variant<LogLine, CallMeasured, PhaseChanged, StatusReady, ItemDropped, EarlyRefusal>;
+/// Control messages of one kind that were sent over one distance since the previous item.
+struct ControlTraffic
+{
+  /// Name of the message on the wire, for example "probe".
+  std::string kind;
+  Distance distance = Distance::kUnknown;
+  std::uint64_t messages = 0;
+  /// Bytes of the messages, without HTTP headers.
+  std::uint64_t bytes = 0;
+
+  friend auto operator<=>(const ControlTraffic&, const ControlTraffic&) = default;
+};
+
+/// Control messages that this node sent, in the order of kind and distance.
+struct ControlTrafficReport
+{
+  std::vector<ControlTraffic> sent;
+
+  friend bool operator==(const ControlTrafficReport&, const ControlTrafficReport&) = default;
+};
+
+using ReportItem = std::variant<LogLine,
+                                CallMeasured,
+                                PhaseChanged,
+                                StatusReady,
+                                ItemDropped,
+                                EarlyRefusal,
+                                ControlTrafficReport>;
 
 /// Queues a report without blocking; may be called from any thread.
 using ReportSink = std::function<void(ReportItem)>;
--- a/packages/node/reporting.cc
+++ b/packages/node/reporting.cc
@@ -49,7 +49,8 @@
   , log(aSettings.GetLogLevel(), aSettings.Node())
   , budget(kBodyMemoryBytes)
   , io(1)
-  , reports(kReportRingCapacity, [this] { asio::post(this->io, [this] { this->ApplyReports(); }); })
+  , batchTimer(this->io)
+  , reports(kReportRingCapacity, [this] { asio::post(this->io, [this] { this->BeginBatch(); }); })
 {
 }
 
@@ -68,10 +69,15 @@
 void
 Reporting::Submit(ReportItem aItem)
 {
+  const bool urgent =
+    std::holds_alternative<PhaseChanged>(aItem) || std::holds_alternative<StatusReady>(aItem);
   if (!this->reports.PushDroppingOldest(std::move(aItem)) && !this->reports.Closed()) {
     // This pushes out a second report; both are counted as one drop.
     this->reports.PushDroppingOldest(ItemDropped{ "reports" });
   }
+  if (urgent) {
+    asio::post(this->io, [this] { this->ApplyReports(); });
+  }
 }
 
 void
@@ -190,12 +196,24 @@
     std::move(aResponse), BodyReservation(this->budget), AfterAnswer::kKeepAlive);
 }
 
+void
+Reporting::BeginBatch()
+{
+  this->batchTimer.expires_after(kBatchInterval);
+  this->batchTimer.async_wait([this](const ErrorCode& aError) {
+    if (!aError) {
+      this->ApplyReports();
+    }
+  });
+}
+
 void
 Reporting::ApplyReports()
 {
   for (const ReportItem& item : this->reports.PopReady()) {
     std::visit([this](const auto& aItem) { this->Apply(aItem); }, item);
   }
+  this->log.Flush();
 }
 
 void
@@ -249,4 +267,17 @@
                     aItem.reason + "\"");
 }
 
+void
+Reporting::Apply(const ControlTrafficReport& aItem)
+{
+  std::string detail;
+  for (const ControlTraffic& traffic : aItem.sent) {
+    this->metrics.Count(traffic);
+    detail += (detail.empty() ? "" : " ") + traffic.kind + "/" +
+              std::string(ToText(traffic.distance)) + "=" + std::to_string(traffic.messages) + "/" +
+              std::to_string(traffic.bytes);
+  }
+  this->log.Write(LogEvent::kControlTraffic, detail);
+}
+
 } // namespace jackdawwind::node
--- a/packages/node/reporting.h
+++ b/packages/node/reporting.h
@@ -5,6 +5,10 @@
 //   reporting.Start();
 //   reporting.Submit(LogLine(...));      // never blocks; a full ring drops its oldest report
 //
+// Reports are applied in batches, kBatchInterval after the first of a batch, so that a busy node
+// wakes this thread a few times a second and not once for each report. Changes of the phase and
+// status answers are applied at once.
+//
 // GET /health succeeds while the process runs, GET /health/ready only in the phase serving. GET
 // /metrics returns the metrics as Prometheus text. GET /status and POST /drain require the
 // administration token.
@@ -57,6 +61,9 @@
   static constexpr std::size_t kMaxConnections = 64;
   /// Time limit for the decision thread to answer a status request.
   static constexpr Duration kStatusTimeout = std::chrono::seconds(2);
+  /// Longest delay of a log line or metric. The ring holds the reports of this time at several
+  /// times the highest rate of requests.
+  static constexpr Duration kBatchInterval = std::chrono::milliseconds(250);
 
   /// Status request that waits for its answer from the decision thread.
   struct StatusWaiter
@@ -71,6 +78,8 @@
   void OnStatus(const ServerConnection::Pointer& aConnection);
   void OnDrain(const ServerConnection::Pointer& aConnection);
   void Answer(const ServerConnection::Pointer& aConnection, HttpResponse aResponse);
+  /// Schedules ApplyReports for the end of the batch.
+  void BeginBatch();
   void ApplyReports();
   void Apply(const LogLine& aItem);
   void Apply(const CallMeasured& aItem);
@@ -78,6 +87,7 @@
   void Apply(const StatusReady& aItem);
   void Apply(const ItemDropped& aItem);
   void Apply(const EarlyRefusal& aItem);
+  void Apply(const ControlTrafficReport& aItem);
 
   const NodeSettings& settings;
   Ring<Event>& events;
@@ -87,6 +97,7 @@
   BodyBudget budget;
   std::shared_ptr<std::size_t> connectionCount = std::make_shared<std::size_t>(0);
   asio::io_context io;
+  ClockTimer batchTimer;
   std::unique_ptr<Listener> listener;
   std::map<std::uint64_t, StatusWaiter> waiters;
   std::uint64_t lastTicket = 0;
--- a/packages/node/server_connection.cc
+++ b/packages/node/server_connection.cc
@@ -65,6 +65,17 @@
   this->ReadHeader();
 }
 
+std::optional<asio::ip::address>
+ServerConnection::RemoteAddress() const
+{
+  ErrorCode error;
+  const Tcp::endpoint remote = this->socket.remote_endpoint(error);
+  if (error) {
+    return std::nullopt;
+  }
+  return remote.address();
+}
+
 void
 ServerConnection::ReadHeader()
 {
--- a/packages/node/server_connection.h
+++ b/packages/node/server_connection.h
@@ -81,6 +81,9 @@
   /// Starts to read requests.
   void Start();
 
+  /// Address of the other end; nothing once the connection is broken.
+  std::optional<asio::ip::address> RemoteAddress() const;
+
   /// Watches for a disconnect until the answer to aExchange, which must not be 0.
   void AwaitAnswer(std::uint64_t aExchange);
 
--- a/packages/node/tests/control_test.cc
+++ b/packages/node/tests/control_test.cc
@@ -58,7 +58,7 @@
     StewardGrant({ .sender = "m", .sequence = 2, .mark = 3, .elected = true }),
   };
   for (const PeerMessage& message : messages) {
-    from.Submit(SendPeer({ .to = address, .message = message }));
+    from.Submit(SendPeer({ .to = address, .message = message }), Distance::kOwnDomain);
   }
   std::vector<Event> received;
   const Time deadline = Clock::now() + kReceiveTimeout;
--- a/packages/wire/codec.cc
+++ b/packages/wire/codec.cc
@@ -9,23 +9,31 @@
 
 namespace jackdawwind::wire {
 
-std::string
-ToJsonText(const Json::Value& aJson)
+namespace {
+
+Json::StreamWriterBuilder
+CompactWriterBuilder()
 {
   Json::StreamWriterBuilder builder;
   builder["indentation"] = "";
   builder["emitUTF8"] = true;
-  return Json::writeString(builder, aJson);
+  return builder;
 }
 
-Decoded<Json::Value>
-ParseJsonWithin(const JsonLimits& aLimits, std::string_view aText)
+Json::CharReaderBuilder
+StrictReaderBuilder(const JsonLimits& aLimits)
 {
   Json::CharReaderBuilder builder;
   Json::CharReaderBuilder::strictMode(&builder.settings_);
   builder["stackLimit"] = aLimits.maxDepth;
   builder["rejectDupKeys"] = aLimits.rejectDuplicateKeys;
-  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+  return builder;
+}
+
+Decoded<Json::Value>
+ParseWith(const Json::CharReaderBuilder& aBuilder, std::string_view aText)
+{
+  const std::unique_ptr<Json::CharReader> reader(aBuilder.newCharReader());
   Json::Value json;
   std::string errors;
   try {
@@ -38,11 +46,29 @@
   return DecodeError{ "", "a JSON document", errors };
 }
 
+} // namespace
+
+std::string
+ToJsonText(const Json::Value& aJson)
+{
+  // Building the settings takes longer than writing a small document.
+  static const Json::StreamWriterBuilder builder = CompactWriterBuilder();
+  return Json::writeString(builder, aJson);
+}
+
+Decoded<Json::Value>
+ParseJsonWithin(const JsonLimits& aLimits, std::string_view aText)
+{
+  return ParseWith(StrictReaderBuilder(aLimits), aText);
+}
+
 Decoded<Json::Value>
 ParseJson(std::string_view aText)
 {
   // No schema type nests deeper than this, so deeper documents are invalid.
-  return ParseJsonWithin({ .maxDepth = 32, .rejectDuplicateKeys = true }, aText);
+  static const Json::CharReaderBuilder builder =
+    StrictReaderBuilder({ .maxDepth = 32, .rejectDuplicateKeys = true });
+  return ParseWith(builder, aText);
 }
 
 ObjectReader::ObjectReader(const Json::Value& aJson, const std::string& aPath)
--- a/packages/wire/crypto.cc
+++ b/packages/wire/crypto.cc
@@ -53,6 +53,15 @@
   return digest;
 }
 
+Digest
+KeyedHash(std::string_view aSecret, std::string_view aText)
+{
+  // The secret may have any length; hashing it gives a key of the length that the keyed hash
+  // accepts.
+  const Digest key = Hash(aSecret, "");
+  return Hash(aText, std::string_view(reinterpret_cast<const char*>(key.data()), key.size()));
+}
+
 std::string
 RandomHex(std::size_t aBytes)
 {
@@ -81,11 +90,7 @@
 std::string
 Seal(std::string_view aSecret, std::string_view aText)
 {
-  // The secret may have any length; hashing it gives a key of the length that the keyed hash
-  // accepts.
-  const Digest key = Hash(aSecret, "");
-  const Digest digest =
-    Hash(aText, std::string_view(reinterpret_cast<const char*>(key.data()), key.size()));
+  const Digest digest = KeyedHash(aSecret, aText);
   return ToHex(digest.data(), digest.size());
 }
 
@@ -97,6 +102,21 @@
          sodium_memcmp(expected.data(), aSeal.data(), expected.size()) == 0;
 }
 
+std::string
+ShortSeal(std::string_view aSecret, std::string_view aText)
+{
+  const Digest digest = KeyedHash(aSecret, aText);
+  return std::string(reinterpret_cast<const char*>(digest.data()), kShortSealBytes);
+}
+
+bool
+ShortSealMatches(std::string_view aSecret, std::string_view aText, std::string_view aSeal)
+{
+  const std::string expected = ShortSeal(aSecret, aText);
+  return expected.size() == aSeal.size() &&
+         sodium_memcmp(expected.data(), aSeal.data(), expected.size()) == 0;
+}
+
 std::string
 RandomId()
 {
--- a/packages/wire/crypto.h
+++ b/packages/wire/crypto.h
@@ -2,6 +2,7 @@
 // lower-case hexadecimal text.
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -20,6 +21,16 @@
 /// Verifies a seal in constant time.
 bool SealMatches(std::string_view aSecret, std::string_view aText, std::string_view aSeal);
 
+/// Length of a short seal in bytes.
+constexpr std::size_t kShortSealBytes = 16;
+
+/// Returns the first kShortSealBytes of the keyed BLAKE2b-256 hash of a text under a secret, as raw
+/// bytes.
+std::string ShortSeal(std::string_view aSecret, std::string_view aText);
+
+/// Verifies a short seal in constant time.
+bool ShortSealMatches(std::string_view aSecret, std::string_view aText, std::string_view aSeal);
+
 /// Returns an unguessable 128-bit id: 32 hexadecimal digits.
 std::string RandomId();
 
