--- a/packages/decisions/mesh/entry_requests.cc
+++ b/packages/decisions/mesh/entry_requests.cc
@@ -282,17 +282,19 @@
                             Effects& aEffects)
 {
   Request& request = aRequest->second;
-  const bool retry = this->ShouldRetry(request, aAnswer, aNow);
-  if (retry) {
-    AddLogLine(aEffects,
-               LogEvent::kAttemptRetried,
-               "request=" + request.id + " node=" + request.node +
-                 " code=" + std::string(ToText(aAnswer.Code())) +
-                 " run=" + std::string(ToText(aAnswer.Run())) +
-                 " attempt=" + std::to_string(request.attempt));
-    if (this->Send(aRequest, aNow, aEffects)) {
-      return;
-    }
+  const std::string node = request.node;
+  const std::uint32_t attempt = request.attempt;
+  const Retry retry = this->DecideRetry(request, aAnswer, aNow);
+  if (retry != Retry::kNo && this->Send(aRequest, aNow, aEffects)) {
+    AddLogLine(
+      aEffects,
+      LogEvent::kAttemptRetried,
+      "request=" + request.id + " node=" + node + " code=" + std::string(ToText(aAnswer.Code())) +
+        " run=" + std::string(ToText(aAnswer.Run())) + " attempt=" + std::to_string(attempt));
+    return;
+  }
+  if (retry == Retry::kCharged) {
+    this->modules.budget.Return(request.service);
   }
   if (aAnswer.Code() == ResultCode::kOk) {
     this->FinishRelayed(aRequest, aAnswer, aNow, aEffects);
@@ -301,31 +303,32 @@
   }
 }
 
-bool
-EntryRequests::ShouldRetry(Request& aRequest, const HopAnswered& aAnswer, Time aNow)
+EntryRequests::Retry
+EntryRequests::DecideRetry(Request& aRequest, const HopAnswered& aAnswer, Time aNow)
 {
   const bool idempotent = IsIdempotent(aRequest.route);
   if (aAnswer.Code() == ResultCode::kOk &&
       (aAnswer.Status() < kFirstServerErrorStatus || !idempotent)) {
-    return false;
+    return Retry::kNo;
   }
   const bool reachedTarget =
     aAnswer.Run() != RunState::kNotRun || aAnswer.Code() == ResultCode::kTargetRefused;
   if (aAnswer.Run() != RunState::kNotRun) {
     ++aRequest.possibleRuns;
     if (!idempotent) {
-      return false;
+      return Retry::kNo;
     }
   }
   if (aRequest.deadline - aNow < kMinSendTime) {
-    return false;
+    return Retry::kNo;
   }
   if (!reachedTarget) {
     ++aRequest.refusals;
-    return aRequest.refusals <= kMaxRefusals;
+    return aRequest.refusals <= kMaxRefusals ? Retry::kFree : Retry::kNo;
   }
-  return aRequest.possibleRuns < aRequest.route.MaxAttempts() &&
-         this->modules.budget.TryTake(aRequest.service);
+  const bool allowed = aRequest.possibleRuns < aRequest.route.MaxAttempts() &&
+                       this->modules.budget.TryTake(aRequest.service);
+  return allowed ? Retry::kCharged : Retry::kNo;
 }
 
 void
--- a/packages/decisions/mesh/entry_requests.h
+++ b/packages/decisions/mesh/entry_requests.h
@@ -95,6 +95,15 @@
     std::string node;
   };
 
+  enum class Retry
+  {
+    kNo,
+    /// The attempt reached no target.
+    kFree,
+    /// A token of the repeat budget was taken.
+    kCharged,
+  };
+
   using Requests = std::map<std::uint64_t, Request>;
   using Admission = std::variant<Request, ResultCode>;
 
@@ -107,8 +116,8 @@
                     const HopAnswered& aAnswer,
                     Time aNow,
                     Effects& aEffects);
-  /// Counts the outcome of the attempt; a retry of one that reached a target takes from the budget.
-  bool ShouldRetry(Request& aRequest, const HopAnswered& aAnswer, Time aNow);
+  /// Counts the outcome of the attempt.
+  Retry DecideRetry(Request& aRequest, const HopAnswered& aAnswer, Time aNow);
   void FinishRelayed(Requests::iterator aRequest,
                      const HopAnswered& aAnswer,
                      Time aNow,
--- a/packages/decisions/mesh/fleet_share.cc
+++ b/packages/decisions/mesh/fleet_share.cc
@@ -6,8 +6,9 @@
 
 namespace {
 
-/// Fleet size assumed until the registered nodes are known: the size of current deployments.
-constexpr std::size_t kAssumedNodeCount = 16;
+/// Fleet size assumed until the registered nodes are known: the largest that is planned for. Nodes
+/// that restart together while the register can't be read must not exceed a quota together.
+constexpr std::size_t kAssumedNodeCount = 1000;
 /// Extra share of a majority, so that a few dead nodes do not reduce the quota. At most one side of
 /// a partition is a majority, so this also bounds the excess of the whole fleet over a quota.
 constexpr double kMajorityExcess = 0.1;
--- a/packages/decisions/mesh/local_target.cc
+++ b/packages/decisions/mesh/local_target.cc
@@ -89,12 +89,24 @@
   if (!this->AcceptsRequests(aNow)) {
     return;
   }
+  // A slot may become free long after the last timer, for example when a suspended process resumes.
+  this->RefuseExpired(aNow, aEffects);
   while (std::optional<TargetScheduler::WaitingRequest> next = this->scheduler.TakeNext()) {
     const Entries::iterator entry = this->requests.find(next->exchange);
     this->Run(entry->second, aNow, aEffects);
   }
 }
 
+void
+LocalTarget::RefuseExpired(Time aNow, Effects& aEffects)
+{
+  for (const TargetScheduler::WaitingRequest& waiting : this->scheduler.TakeExpired(aNow)) {
+    const Entries::iterator entry = this->requests.find(waiting.exchange);
+    this->Refuse(entry->second.request, ResultCode::kQueueExpired, aEffects);
+    this->requests.erase(entry);
+  }
+}
+
 void
 LocalTarget::Refuse(const Request& aRequest, ResultCode aCode, Effects& aEffects)
 {
@@ -286,11 +298,7 @@
 bool
 LocalTarget::Poll(Time aNow, Effects& aEffects)
 {
-  for (const TargetScheduler::WaitingRequest& waiting : this->scheduler.TakeExpired(aNow)) {
-    const Entries::iterator entry = this->requests.find(waiting.exchange);
-    this->Refuse(entry->second.request, ResultCode::kQueueExpired, aEffects);
-    this->requests.erase(entry);
-  }
+  this->RefuseExpired(aNow, aEffects);
   if (aNow >= this->unreachableUntil) {
     this->unreachableUntil = Time{};
   }
--- a/packages/decisions/mesh/local_target.h
+++ b/packages/decisions/mesh/local_target.h
@@ -94,6 +94,8 @@
   ResultCode UnavailableCode() const;
   void Run(Entry& aEntry, Time aNow, Effects& aEffects);
   void RunWaiting(Time aNow, Effects& aEffects);
+  /// Rejects the waiting requests that can no longer finish before their deadline.
+  void RefuseExpired(Time aNow, Effects& aEffects);
   /// Rejects a request that was not sent to the target.
   void Refuse(const Request& aRequest, ResultCode aCode, Effects& aEffects);
   /// Rejects all waiting requests.
--- a/packages/decisions/mesh/quota_pool.cc
+++ b/packages/decisions/mesh/quota_pool.cc
@@ -370,7 +370,8 @@
   channel->second.backoffUntil = Time{};
   for (const QuotaAllowance& allowance : aGrant.Allowances()) {
     const auto found = this->accounts.find(allowance.GetOrganisation());
-    if (found != this->accounts.end()) {
+    // A grant of a former owner is void: the requests that it reported were taken over.
+    if (found != this->accounts.end() && found->second.owner.Node() == aGrant.Sender()) {
       this->ApplyAllowance(found->second, allowance, aNow);
     }
   }
--- a/packages/decisions/mesh/repeat_budget.cc
+++ b/packages/decisions/mesh/repeat_budget.cc
@@ -6,10 +6,6 @@
 
 namespace {
 
-/// Minimum assumed fleet size: the size of current deployments. A node that has just started knows
-/// no other node, so after a restart of the whole fleet each would use all of fleetExtra.
-constexpr std::size_t kMinNodeCount = 16;
-
 } // namespace
 
 RepeatBudget::RepeatBudget(Options aOptions)
@@ -20,7 +16,7 @@
 void
 RepeatBudget::SetNodeCount(std::size_t aNodeCount)
 {
-  this->nodeCount = std::max(aNodeCount, kMinNodeCount);
+  this->nodeCount = std::max<std::size_t>(aNodeCount, 1);
 }
 
 double
@@ -49,4 +45,13 @@
   return true;
 }
 
+void
+RepeatBudget::Return(const std::string& aService)
+{
+  const auto entry = this->tokens.find(aService);
+  if (entry != this->tokens.end()) {
+    entry->second = std::min(this->Capacity(), entry->second + 1.0);
+  }
+}
+
 } // namespace jackdawwind
--- a/packages/decisions/mesh/repeat_budget.h
+++ b/packages/decisions/mesh/repeat_budget.h
@@ -35,6 +35,8 @@
   void NoteRequest(const std::string& aService);
   /// Takes the token for one repeat; returns false if the budget is exhausted.
   bool TryTake(const std::string& aService);
+  /// Gives back the token of a repeat that was not sent.
+  void Return(const std::string& aService);
 
 private:
   /// Levels of a call chain whose repeats add up at the deepest service.
--- a/packages/decisions/mesh/target_registration.cc
+++ b/packages/decisions/mesh/target_registration.cc
@@ -10,14 +10,14 @@
   if (aBeat.Instance() == this->endedInstance && aBeat.StartedAtMs() <= this->endedBorn) {
     return true;
   }
-  if (!this->current) {
+  const std::optional<TargetHeartbeat>& known = this->current ? this->current : this->lapsed;
+  if (!known) {
     return false;
   }
-  if (aBeat.StartedAtMs() != this->current->StartedAtMs()) {
-    return aBeat.StartedAtMs() < this->current->StartedAtMs();
+  if (aBeat.StartedAtMs() != known->StartedAtMs()) {
+    return aBeat.StartedAtMs() < known->StartedAtMs();
   }
-  return aBeat.Instance() == this->current->Instance() &&
-         aBeat.Sequence() <= this->current->Sequence();
+  return aBeat.Instance() == known->Instance() && aBeat.Sequence() <= known->Sequence();
 }
 
 TargetRegistration::Verdict
@@ -32,6 +32,7 @@
                          this->current->GetService() == aBeat.GetService() &&
                          this->current->Slots() == aBeat.Slots();
   this->current = aBeat;
+  this->lapsed.reset();
   this->leaseEnd = aNow + kLeaseDuration;
   return unchanged ? Verdict::kRenewed : Verdict::kChanged;
 }
@@ -56,6 +57,10 @@
   if (!this->current || aNow < this->leaseEnd) {
     return false;
   }
+  if (this->current->StartedAtMs() != 0) {
+    // Without its start time a restarted instance, whose sequence begins anew, would look stale.
+    this->lapsed = this->current;
+  }
   this->current.reset();
   this->leaseEnd = Time::max();
   return true;
--- a/packages/decisions/mesh/target_registration.h
+++ b/packages/decisions/mesh/target_registration.h
@@ -55,6 +55,8 @@
   bool IsStale(const TargetHeartbeat& aBeat) const;
 
   std::optional<TargetHeartbeat> current;
+  /// Report of the registration that lapsed last; earlier reports may still arrive.
+  std::optional<TargetHeartbeat> lapsed;
   Time leaseEnd = Time::max();
   /// Instance that signed off last, and its time of birth (Unix time in milliseconds).
   std::string endedInstance;
