Throttle refused requests at the entry; count unreported load by slots

A pick walked all members with two look-ups each, and a request not yet reported counted as a fiftieth of a target that may have seven slots.

Change: adaptive throttling per service and rank at the entry node; one retry of an overload refusal for callers, two for nested calls; candidates by service, kept as members change; targets state their slots with their answers. A token of the quota is refunded only if one was taken.

Endless interim answers ended only with the request's timeout before; they now end after a thousand.

--- a/packages/decisions/mesh/entry_requests.cc
+++ b/packages/decisions/mesh/entry_requests.cc
@@ -10,9 +10,13 @@
 
 namespace {
 
-/// Number of refusals by nodes after which a request is still retried; under overload the remaining
-/// nodes are likely to be full as well.
+/// Number of refusals by nodes after which a request is still retried. Under overload the remaining
+/// nodes are likely to be full as well, and refusing costs them; a nested call gets one retry more,
+/// because the work of the whole chain above it would be lost.
 constexpr std::uint32_t kMaxRefusals = 2;
+constexpr std::uint32_t kMaxOverloadRefusals = 1;
+/// Start of the throttle's random stream, relative to that of this class.
+constexpr std::uint64_t kThrottleSeed = 0x5851F42D4C957F2DULL;
 /// An attempt with less time than this remaining is not sent, since it cannot be answered in time.
 constexpr Duration kMinSendTime = std::chrono::milliseconds(20);
 constexpr std::uint32_t kFirstServerErrorStatus = 500;
@@ -59,6 +63,13 @@
   }
 }
 
+/// Whether a node refused because its target is overloaded.
+bool
+IsOverload(ResultCode aCode)
+{
+  return aCode == ResultCode::kShedAtTarget || aCode == ResultCode::kQueueExpired;
+}
+
 bool
 IsIdempotent(const MeshRoute& aRoute)
 {
@@ -71,6 +82,7 @@
   : modules(aModules)
   , options(std::move(aOptions))
   , random(aSeed)
+  , throttle(aSeed ^ kThrottleSeed)
 {
 }
 
@@ -127,6 +139,12 @@
 void
 EntryRequests::AcquireToken(Requests::iterator aRequest, Time aNow, Effects& aEffects)
 {
+  const Request& request = aRequest->second;
+  if (!IsNestedCall(request.rank) &&
+      this->throttle.ShouldReject(request.service, request.rank, aNow)) {
+    this->FinishRejected(aRequest, ResultCode::kShedAtTarget, RunState::kNotRun, aNow, aEffects);
+    return;
+  }
   if (aRequest->second.organisation.empty()) {
     this->SendFirst(aRequest, aNow, aEffects);
     return;
@@ -147,6 +165,7 @@
 void
 EntryRequests::SendFirst(Requests::iterator aRequest, Time aNow, Effects& aEffects)
 {
+  aRequest->second.hasToken = !aRequest->second.organisation.empty();
   this->modules.budget.NoteRequest(aRequest->second.service);
   if (!this->Send(aRequest, aNow, aEffects)) {
     this->FinishRejected(aRequest, ResultCode::kNoTarget, RunState::kNotRun, aNow, aEffects);
@@ -162,9 +181,7 @@
     return false;
   }
   const std::optional<PeerAddress> peer = this->modules.picker.Pick(
-    { .service = request.service, .tried = request.tried, .bodyBytes = request.bodyBytes },
-    this->modules.members,
-    aNow);
+    { .service = request.service, .tried = request.tried, .bodyBytes = request.bodyBytes }, aNow);
   if (!peer) {
     return false;
   }
@@ -214,7 +231,8 @@
 
     void operator()(const HopAnswered& aAnswer) const
     {
-      this->self.modules.picker.NoteAnswer(this->request->second.node, aAnswer.Load(), this->now);
+      this->self.modules.picker.NoteAnswer(
+        this->request->second.node, { aAnswer.Load(), aAnswer.Slots() }, this->now);
       this->self.HandleAnswer(this->request, aAnswer, this->now, this->effects);
     }
     void operator()(const TargetReplied& /*aOutcome*/) const {}
@@ -267,7 +285,8 @@
     for (const LocalTarget::Outcome& outcome : outcomes) {
       const Requests::iterator found = this->requests.find(outcome.exchange);
       if (found != this->requests.end() && found->second.attempt == outcome.attempt) {
-        this->modules.picker.NoteAnswer(this->options.node, outcome.answer.Load(), aNow);
+        this->modules.picker.NoteAnswer(
+          this->options.node, { outcome.answer.Load(), outcome.answer.Slots() }, aNow);
         this->HandleAnswer(found, outcome.answer, aNow, aEffects);
       }
     }
@@ -282,6 +301,7 @@
                             Effects& aEffects)
 {
   Request& request = aRequest->second;
+  this->NoteForThrottle(request, aAnswer, aNow);
   const std::string node = request.node;
   const std::uint32_t attempt = request.attempt;
   const Retry retry = this->DecideRetry(request, aAnswer, aNow);
@@ -303,6 +323,16 @@
   }
 }
 
+void
+EntryRequests::NoteForThrottle(Request& aRequest, const HopAnswered& aAnswer, Time aNow)
+{
+  // Only overload counts as refused: other failures have causes that throttling doesn't relieve.
+  if (!aRequest.noted && !IsOverload(aAnswer.Code())) {
+    aRequest.noted = true;
+    this->throttle.NoteAccepted(aRequest.service, aRequest.rank, aNow);
+  }
+}
+
 EntryRequests::Retry
 EntryRequests::DecideRetry(Request& aRequest, const HopAnswered& aAnswer, Time aNow)
 {
@@ -324,7 +354,9 @@
   }
   if (!reachedTarget) {
     ++aRequest.refusals;
-    return aRequest.refusals <= kMaxRefusals ? Retry::kFree : Retry::kNo;
+    const bool limited = IsOverload(aAnswer.Code()) && !IsNestedCall(aRequest.rank);
+    const std::uint32_t limit = limited ? kMaxOverloadRefusals : kMaxRefusals;
+    return aRequest.refusals <= limit ? Retry::kFree : Retry::kNo;
   }
   const bool allowed = aRequest.possibleRuns < aRequest.route.MaxAttempts() &&
                        this->modules.budget.TryTake(aRequest.service);
@@ -353,8 +385,7 @@
   const Request& request = aRequest->second;
   // That the last attempt did not run proves nothing about the attempts before it.
   const RunState run = request.possibleRuns > 0 ? RunState::kUnknown : aRun;
-  if (run == RunState::kNotRun && aCode != ResultCode::kRateExceeded &&
-      !request.organisation.empty()) {
+  if (run == RunState::kNotRun && request.hasToken) {
     this->modules.quota.Refund(request.organisation);
   }
   aEffects.push_back(RejectRequest(
--- a/packages/decisions/mesh/entry_requests.h
+++ b/packages/decisions/mesh/entry_requests.h
@@ -20,6 +20,7 @@
 
 #include "decisions/effects.h"
 #include "decisions/mesh/configuration_gossip.h"
+#include "decisions/mesh/entry_throttle.h"
 #include "decisions/mesh/local_target.h"
 #include "decisions/mesh/node_picker.h"
 #include "decisions/mesh/quota_pool.h"
@@ -34,12 +35,9 @@
 class EntryRequests
 {
 public:
-  using Members = std::map<std::string, Member>;
-
   struct Modules
   {
     const ConfigurationGossip& configuration;
-    const Members& members;
     QuotaPool& quota;
     RepeatBudget& budget;
     SplitChooser& splits;
@@ -86,10 +84,14 @@
     Time arrived{};
     Time deadline{};
     std::uint32_t attempt = 0;
+    /// Whether a token of the organisation's quota was taken.
+    bool hasToken = false;
     /// Attempts that a target may have started to run.
     std::uint32_t possibleRuns = 0;
     /// Attempts that a node refused before they reached its target.
     std::uint32_t refusals = 0;
+    /// Whether the throttle has been told that a node accepted the request.
+    bool noted = false;
     std::set<std::string> tried;
     /// Node of the current attempt.
     std::string node;
@@ -129,6 +131,8 @@
                       Effects& aEffects);
   /// Rejects a request that was not admitted and has no entry in the map of requests.
   void RejectUnadmitted(const MeshRequestArrived& aArrived, ResultCode aCode, Effects& aEffects);
+  /// Tells the throttle whether the nodes of the service have room.
+  void NoteForThrottle(Request& aRequest, const HopAnswered& aAnswer, Time aNow);
   /// Jittered delay after which the caller should retry.
   Duration RetryAfter(ResultCode aCode);
   void ReportResult(const Request& aRequest,
@@ -141,6 +145,7 @@
   Modules modules;
   Options options;
   Random random;
+  EntryThrottle throttle;
   Requests requests;
   std::vector<std::string> unresponsiveNodes;
   bool rejectingNew = false;
--- a/packages/decisions/mesh/local_target.cc
+++ b/packages/decisions/mesh/local_target.cc
@@ -113,7 +113,8 @@
   const HopAnswered answer({ .status = HttpStatus(aCode),
                              .code = aCode,
                              .run = RunState::kNotRun,
-                             .load = this->scheduler.LoadPerMille() });
+                             .load = this->scheduler.LoadPerMille(),
+                             .slots = this->scheduler.Slots() });
   if (!aRequest.local) {
     AddLogLine(aEffects,
                LogEvent::kHopRefused,
@@ -138,14 +139,17 @@
     return;
   }
   if (aAnswer.Code() == ResultCode::kOk) {
-    aEffects.push_back(RelayReply(
-      { .exchange = request.exchange, .attempt = request.attempt, .load = aAnswer.Load() }));
+    aEffects.push_back(RelayReply({ .exchange = request.exchange,
+                                    .attempt = request.attempt,
+                                    .load = aAnswer.Load(),
+                                    .slots = aAnswer.Slots() }));
     return;
   }
   aEffects.push_back(RejectRequest({ .exchange = request.exchange,
                                      .code = aAnswer.Code(),
                                      .run = aAnswer.Run(),
-                                     .load = aAnswer.Load() }));
+                                     .load = aAnswer.Load(),
+                                     .slots = aAnswer.Slots() }));
 }
 
 HopAnswered
@@ -154,11 +158,15 @@
   struct Visitor
   {
     std::uint32_t load;
+    std::uint32_t slots;
 
     HopAnswered Make(ResultCode aCode, RunState aRun) const
     {
-      return HopAnswered(
-        { .status = HttpStatus(aCode), .code = aCode, .run = aRun, .load = this->load });
+      return HopAnswered({ .status = HttpStatus(aCode),
+                           .code = aCode,
+                           .run = aRun,
+                           .load = this->load,
+                           .slots = this->slots });
     }
     HopAnswered operator()(const TargetReplied& aReply) const
     {
@@ -172,7 +180,8 @@
       return HopAnswered({ .status = aReply.Status(),
                            .code = ResultCode::kOk,
                            .run = RunState::kRan,
-                           .load = this->load });
+                           .load = this->load,
+                           .slots = this->slots });
     }
     HopAnswered operator()(const HopAnswered& aAnswer) const { return aAnswer; }
     HopAnswered operator()(const ConnectFailed& /*aOutcome*/) const
@@ -188,7 +197,7 @@
       return this->Make(ResultCode::kAttemptTimedOut, RunState::kUnknown);
     }
   };
-  return std::visit(Visitor{ this->scheduler.LoadPerMille() }, aOutcome);
+  return std::visit(Visitor{ this->scheduler.LoadPerMille(), this->scheduler.Slots() }, aOutcome);
 }
 
 bool
--- a/packages/decisions/mesh/mesh_core.cc
+++ b/packages/decisions/mesh/mesh_core.cc
@@ -60,7 +60,7 @@
                .domain = this->options.domain,
                .region = this->options.region },
              DeriveSeed(this->options.seed, RandomStream::kPicker))
-    , entry({ configuration, membership.Members(), quota, budget, splits, picker, target },
+    , entry({ configuration, quota, budget, splits, picker, target },
             { .node = this->options.self.Node(), .service = this->options.service },
             DeriveSeed(this->options.seed, RandomStream::kEntry))
   {
@@ -308,6 +308,7 @@
       return;
     }
     this->appliedChanges = this->membership.ChangeCount();
+    this->picker.SetMembers(this->membership.Members());
     this->elected = IsStoreReader(this->options.self.Node(), this->membership.Members());
     this->quota.SetMembers(this->membership.Members(), aNow);
     this->budget.SetNodeCount(this->quota.ExpectedNodes());
--- a/packages/decisions/mesh/node_picker.cc
+++ b/packages/decisions/mesh/node_picker.cc
@@ -22,8 +22,6 @@
 /// kBusyLoad.
 constexpr double kCostPerLoad = 4;
 constexpr double kBusyCostPerLoad = 400;
-/// Estimated load of a request that is not part of a load report yet: one of about fifty slots.
-constexpr double kLoadPerRequest = 0.02;
 /// Time in which the weight of a load report falls to zero; the load of a target changes that fast.
 constexpr Duration kLoadLifetime = std::chrono::seconds(2);
 constexpr Duration kFirstExclusion = std::chrono::milliseconds(500);
@@ -42,63 +40,89 @@
 {
 }
 
-double
-NodePicker::DistanceOf(const Member& aMember, std::uint64_t aBodyBytes) const
+Distance
+NodePicker::DistanceTo(const Member& aMember) const
 {
-  if (aMember.Address().Node() == this->options.node) {
-    return kSameNodeCost;
-  }
-  const double kilobytes = static_cast<double>(aBodyBytes) / kBytesPerKilobyte;
   if (aMember.GetDomain() == this->options.domain) {
-    return kSameDomainCost;
+    return Distance::kOwnDomain;
   }
-  if (aMember.Region() == this->options.region) {
-    return kSameRegionCost + kilobytes * kSameRegionCostPerKilobyte;
+  return aMember.Region() == this->options.region ? Distance::kOwnRegion : Distance::kOtherRegion;
+}
+
+void
+NodePicker::SetMembers(const Members& aMembers)
+{
+  std::erase_if(this->records, [&aMembers](const std::pair<const std::string, Record>& aEntry) {
+    return !aMembers.contains(aEntry.first);
+  });
+  this->candidatesByService.clear();
+  for (const Members::value_type& entry : aMembers) {
+    const Member& member = entry.second;
+    const bool suspect = member.State() == NodeState::kSuspect;
+    const bool live = member.State() == NodeState::kAlive || suspect;
+    if (live && member.GetTargetState() == TargetState::kReady) {
+      this->candidatesByService[member.GetService()].push_back(
+        { .address = member.Address(),
+          .isSelf = entry.first == this->options.node,
+          .distance = this->DistanceTo(member),
+          .suspect = suspect,
+          .record = &this->records[entry.first] });
+    }
   }
-  return kOtherRegionCost + kilobytes * kOtherRegionCostPerKilobyte;
 }
 
 double
-NodePicker::CostOf(const Member& aMember, std::uint64_t aBodyBytes, Time aNow) const
+NodePicker::DistanceCost(const Candidate& aCandidate, std::uint64_t aBodyBytes)
 {
-  const double cost = this->DistanceOf(aMember, aBodyBytes);
-  const auto found = this->records.find(aMember.Address().Node());
-  if (found == this->records.end()) {
-    return cost;
+  const double kilobytes = static_cast<double>(aBodyBytes) / kBytesPerKilobyte;
+  if (aCandidate.isSelf) {
+    return kSameNodeCost;
+  }
+  switch (aCandidate.distance) {
+    case Distance::kOwnDomain:
+      return kSameDomainCost;
+    case Distance::kOwnRegion:
+      return kSameRegionCost + kilobytes * kSameRegionCostPerKilobyte;
+    default:
+      return kOtherRegionCost + kilobytes * kOtherRegionCostPerKilobyte;
   }
-  const Record& record = found->second;
+}
+
+double
+NodePicker::CostOf(const Candidate& aCandidate, std::uint64_t aBodyBytes, Time aNow)
+{
+  const Record& record = *aCandidate.record;
   const double age = Seconds(aNow - record.loadAt);
   const double freshness = std::clamp(1.0 - age / Seconds(kLoadLifetime), 0.0, 1.0);
-  const double load = std::max(record.load * freshness + record.sentSinceReport * kLoadPerRequest,
-                               record.inFlight * kLoadPerRequest);
+  const double load =
+    std::max(record.load * freshness + record.sentSinceReport * record.loadPerRequest,
+             record.inFlight * record.loadPerRequest);
   const double excess = std::max(load - kBusyLoad, 0.0);
-  return cost + load * kCostPerLoad + excess * kBusyCostPerLoad;
+  return DistanceCost(aCandidate, aBodyBytes) + load * kCostPerLoad + excess * kBusyCostPerLoad;
 }
 
 std::optional<PeerAddress>
-NodePicker::Pick(const Criteria& aCriteria, const Members& aMembers, Time aNow)
+NodePicker::Pick(const Criteria& aCriteria, Time aNow)
 {
-  const Member* best = nullptr;
+  const std::map<std::string, std::vector<Candidate>>::const_iterator found =
+    this->candidatesByService.find(aCriteria.service);
+  if (found == this->candidatesByService.end()) {
+    return std::nullopt;
+  }
+  const Candidate* best = nullptr;
   double bestCost = 0;
   bool bestExcluded = false;
-  for (const Members::value_type& entry : aMembers) {
-    const Member& member = entry.second;
-    const bool usable =
-      member.GetService() == aCriteria.service && member.GetTargetState() == TargetState::kReady &&
-      (member.State() == NodeState::kAlive || member.State() == NodeState::kSuspect) &&
-      !aCriteria.tried.contains(entry.first);
-    if (!usable) {
+  for (const Candidate& candidate : found->second) {
+    if (!aCriteria.tried.empty() && aCriteria.tried.contains(candidate.address.Node())) {
       continue;
     }
-    const auto record = this->records.find(entry.first);
     // Excluded and suspect nodes are selected only if there is no other candidate.
-    const bool excluded = member.State() == NodeState::kSuspect ||
-                          (record != this->records.end() && record->second.excludedUntil > aNow);
+    const bool excluded = candidate.suspect || candidate.record->excludedUntil > aNow;
     const double cost =
-      this->CostOf(member, aCriteria.bodyBytes, aNow) + this->random.Fraction() * kMaxTieBreakCost;
+      CostOf(candidate, aCriteria.bodyBytes, aNow) + this->random.Fraction() * kMaxTieBreakCost;
     if (best == nullptr || (bestExcluded && !excluded) ||
         (bestExcluded == excluded && cost < bestCost)) {
-      best = &member;
+      best = &candidate;
       bestCost = cost;
       bestExcluded = excluded;
     }
@@ -106,7 +130,7 @@
   if (best == nullptr) {
     return std::nullopt;
   }
-  return best->Address();
+  return best->address;
 }
 
 void
@@ -125,11 +149,14 @@
 }
 
 void
-NodePicker::NoteAnswer(const std::string& aNode, std::uint32_t aLoadPerMille, Time aNow)
+NodePicker::NoteAnswer(const std::string& aNode, const Load& aLoad, Time aNow)
 {
   this->NoteEnded(aNode);
   Record& record = this->records[aNode];
-  record.load = aLoadPerMille / kPerMille;
+  record.load = aLoad.perMille / kPerMille;
+  if (aLoad.slots > 0) {
+    record.loadPerRequest = 1.0 / aLoad.slots;
+  }
   record.loadAt = aNow;
   record.sentSinceReport = 0;
   record.failures = 0;
@@ -150,7 +177,11 @@
 void
 NodePicker::Forget(const std::string& aNode)
 {
-  this->records.erase(aNode);
+  const std::map<std::string, Record>::iterator found = this->records.find(aNode);
+  if (found != this->records.end()) {
+    // Candidates refer to the record.
+    found->second = Record{};
+  }
 }
 
 } // namespace jackdawwind
--- a/packages/decisions/mesh/node_picker.h
+++ b/packages/decisions/mesh/node_picker.h
@@ -1,8 +1,8 @@
 // Selects the node, and with it the target, to which a request is sent.
 //
 //   NodePicker picker(options, seed);
-//   std::optional<PeerAddress> peer =
-//     picker.Pick({ .service = "fleet", .tried = tried }, members, now);
+//   picker.SetMembers(members);                        // after every change
+//   std::optional<PeerAddress> peer = picker.Pick({ .service = "fleet", .tried = tried }, now);
 //   picker.NoteSent(peer->Node());
 //   picker.NoteAnswer(peer->Node(), load, now);        // or NoteFailure
 //
@@ -10,7 +10,10 @@
 // load and the requests sent to it since; the candidate with the lowest cost is selected. Near
 // targets are used until they are busy, so traffic crosses domains and regions only when that
 // reduces the latency. A node that failed is avoided for a time that doubles with each consecutive
-// failure. Pick is linear in the number of members.
+// failure.
+//
+// Pick is linear in the number of ready targets of the service; SetMembers is linear in the number
+// of members.
 #pragma once
 
 #include <cstdint>
@@ -18,9 +21,11 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "util/clock.h"
 #include "util/random.h"
+#include "values/generated/common.h"
 #include "values/generated/peer.h"
 
 namespace jackdawwind {
@@ -47,24 +52,40 @@
     std::uint64_t bodyBytes = 0;
   };
 
+  /// Load that a target reported with an answer.
+  struct Load
+  {
+    /// Running and queued requests per 1000 slots.
+    std::uint32_t perMille = 0;
+    /// 0 if unknown.
+    std::uint32_t slots = 0;
+  };
+
+  /// Sets the candidates of all services.
+  void SetMembers(const Members& aMembers);
   /// Returns nothing if no untried live node has a ready target of the service. Suspect nodes, and
   /// nodes that failed recently, are selected only if there is no other candidate.
-  std::optional<PeerAddress> Pick(const Criteria& aCriteria, const Members& aMembers, Time aNow);
+  std::optional<PeerAddress> Pick(const Criteria& aCriteria, Time aNow);
   void NoteSent(const std::string& aNode);
-  void NoteAnswer(const std::string& aNode, std::uint32_t aLoadPerMille, Time aNow);
+  void NoteAnswer(const std::string& aNode, const Load& aLoad, Time aNow);
   /// Notes that the connection failed or broke.
   void NoteFailure(const std::string& aNode, Time aNow);
   /// Notes that the request ended without information about the node's load or health.
   void NoteEnded(const std::string& aNode);
-  /// Drops the record of a node that has left the membership.
+  /// Clears the record of a node that has ended or left.
   void Forget(const std::string& aNode);
 
 private:
+  /// One of about fifty slots.
+  static constexpr double kDefaultLoadPerRequest = 0.02;
+
   struct Record
   {
     /// Last reported load, 1 when full, and the time of the report.
     double load = 0;
     Time loadAt{};
+    /// Load of one request: a slot, or kDefaultLoadPerRequest until the slots are known.
+    double loadPerRequest = kDefaultLoadPerRequest;
     std::uint32_t inFlight = 0;
     /// Requests sent since the last report.
     std::uint32_t sentSinceReport = 0;
@@ -73,12 +94,25 @@
     Time excludedUntil{};
   };
 
-  double DistanceOf(const Member& aMember, std::uint64_t aBodyBytes) const;
-  double CostOf(const Member& aMember, std::uint64_t aBodyBytes, Time aNow) const;
+  /// A live member with a ready target.
+  struct Candidate
+  {
+    PeerAddress address;
+    bool isSelf = false;
+    Distance distance = Distance::kUnknown;
+    bool suspect = false;
+    /// Element of records.
+    Record* record = nullptr;
+  };
+
+  Distance DistanceTo(const Member& aMember) const;
+  static double DistanceCost(const Candidate& aCandidate, std::uint64_t aBodyBytes);
+  static double CostOf(const Candidate& aCandidate, std::uint64_t aBodyBytes, Time aNow);
 
   Options options;
   Random random;
   std::map<std::string, Record> records;
+  std::map<std::string, std::vector<Candidate>> candidatesByService;
 };
 
 } // namespace jackdawwind
--- a/packages/decisions/mesh/target_scheduler.h
+++ b/packages/decisions/mesh/target_scheduler.h
@@ -86,6 +86,7 @@
 
   /// Time at which the next waiting request expires; Time::max() if none waits.
   Time NextExpiry() const;
+  std::uint32_t Slots() const { return this->slots; }
   std::size_t Running() const { return this->runningCalls + this->runningCallers; }
   std::size_t CallerLimit() const { return this->callerLimit.Limit(); }
   std::size_t WaitingCount() const { return this->waiting.size(); }
--- a/packages/node/mesh_io.cc
+++ b/packages/node/mesh_io.cc
@@ -455,7 +455,8 @@
   return HopAnswered({ .status = aAttempt.answer->response.result_int(),
                        .code = result->code,
                        .run = result->run,
-                       .load = result->load });
+                       .load = result->load,
+                       .slots = result->slots });
 }
 
 void
@@ -489,9 +490,11 @@
     CompleteAnswer& answer = *attempt.answer;
     PrepareForwardedAnswer(answer.response, exchange.header.method() == http::verb::head);
     if (exchange.hop) {
-      WritePeerResult(
-        answer.response,
-        PeerResult{ .code = ResultCode::kOk, .run = RunState::kRan, .load = aEffect.Load() });
+      WritePeerResult(answer.response,
+                      PeerResult{ .code = ResultCode::kOk,
+                                  .run = RunState::kRan,
+                                  .load = aEffect.Load(),
+                                  .slots = aEffect.Slots() });
     }
     exchange.connection->Respond(
       std::move(answer.response), std::move(answer.reservation), this->AfterAnswerTo(exchange));
@@ -511,9 +514,11 @@
     HttpResponse response;
     if (exchange.hop) {
       response = RefusalResponse(aEffect.Code(), aEffect.Run());
-      WritePeerResult(
-        response,
-        PeerResult{ .code = aEffect.Code(), .run = aEffect.Run(), .load = aEffect.Load() });
+      WritePeerResult(response,
+                      PeerResult{ .code = aEffect.Code(),
+                                  .run = aEffect.Run(),
+                                  .load = aEffect.Load(),
+                                  .slots = aEffect.Slots() });
     } else {
       response = this->frontEnd.writeRejection(aEffect, exchange.requestId);
     }
--- a/packages/node/outgoing_exchange.cc
+++ b/packages/node/outgoing_exchange.cc
@@ -206,7 +206,12 @@
     return;
   }
   if (http::to_status_class(status) == http::status_class::informational) {
-    this->ReadAnswer();
+    ++this->interimAnswers;
+    if (this->interimAnswers > kMaxInterimAnswers) {
+      this->Finish(ConnectionBroken{});
+    } else {
+      this->ReadAnswer();
+    }
     return;
   }
   if (this->request.matchesRequest &&
--- a/packages/node/outgoing_exchange.h
+++ b/packages/node/outgoing_exchange.h
@@ -97,6 +97,9 @@
   /// Number of answers to other requests that are dropped before the exchange fails as
   /// ConnectionBroken.
   static constexpr unsigned kMaxStrayAnswers = 3;
+  /// Number of interim answers after which the exchange fails as ConnectionBroken. A node sends two
+  /// a second; a faulty server may send them without end.
+  static constexpr unsigned kMaxInterimAnswers = 1000;
 
   static std::shared_ptr<OutgoingExchange> Start(const OutgoingNetwork& aNetwork,
                                                  OutgoingRequest aRequest,
@@ -133,6 +136,7 @@
   bool reused = false;
   bool anyWritten = false;
   unsigned strayAnswers = 0;
+  unsigned interimAnswers = 0;
   http::request<Body> message;
   std::optional<http::request_serializer<Body>> serializer;
   beast::flat_buffer buffer;
--- a/packages/node/peer_exchange.cc
+++ b/packages/node/peer_exchange.cc
@@ -82,6 +82,9 @@
   aResponse.set(kUnusedAllowanceHeader, std::to_string(aResult.unusedAllowance));
   aResponse.set(kLevelHeader, std::to_string(aResult.level));
   aResponse.set(kLoadHeader, std::to_string(aResult.load));
+  if (aResult.slots > 0) {
+    aResponse.set(kSlotsHeader, std::to_string(aResult.slots));
+  }
 }
 
 std::optional<PeerResult>
@@ -99,7 +102,9 @@
   if (!code || !run) {
     return std::nullopt;
   }
-  return PeerResult{ *code, *run, *unused, *level, *load };
+  // Absent in answers of earlier versions.
+  const std::uint32_t slots = NumberField(aResponse, kSlotsHeader).value_or(0);
+  return PeerResult{ *code, *run, *unused, *level, *load, slots };
 }
 
 void
--- a/packages/node/peer_exchange.h
+++ b/packages/node/peer_exchange.h
@@ -34,6 +34,8 @@
   std::uint32_t unusedAllowance = 0;
   std::uint32_t level = 0;
   std::uint32_t load = 0;
+  /// Slots of the target; 0 if the answering node does not state them.
+  std::uint32_t slots = 0;
 
   friend bool operator==(const PeerResult&, const PeerResult&) = default;
 };
--- a/packages/node/tests/control_test.cc
+++ b/packages/node/tests/control_test.cc
@@ -9,6 +9,7 @@
 
 #include <gtest/gtest.h>
 
+#include "node/control_frame.h"
 #include "node/metrics.h"
 #include "node/peer_control.h"
 #include "node/reporting.h"
@@ -73,6 +74,92 @@
   }
 }
 
+TEST(PeerControl, DeliversMessagesLongerThanADatagram)
+{
+  const NodeSettings settings = MakeSettings();
+  Ring<Event> senderEvents(16);
+  Ring<Event> receiverEvents(16);
+  PeerControl::OpenResult sender =
+    PeerControl::Open(settings, senderEvents, [](const ReportItem&) {});
+  PeerControl::OpenResult receiver =
+    PeerControl::Open(settings, receiverEvents, [](const ReportItem&) {});
+  PeerControl& from = *std::get<std::unique_ptr<PeerControl>>(sender);
+  PeerControl& to = *std::get<std::unique_ptr<PeerControl>>(receiver);
+  from.Start();
+  to.Start();
+  const PeerAddress address({ .node = "m", .host = "127.0.0.1", .controlPort = to.Port() });
+  std::vector<Member> members;
+  for (int index = 0; index < 1000; ++index) {
+    members.push_back(Member({ .address = PeerAddress({ .node = wire::RandomId() }) }));
+  }
+  const MemberSync message({ .sender = address, .members = members, .reply = true });
+  from.Submit(SendPeer({ .to = address, .message = message }), Distance::kOtherRegion);
+  const std::vector<Event> received = receiverEvents.PopAll(Clock::now() + kReceiveTimeout);
+  ASSERT_EQ(received.size(), 1U);
+  EXPECT_EQ(std::get<PeerReceived>(received[0]).Message(), PeerMessage(message));
+}
+
+TEST(PeerControl, IgnoresDatagramsWithoutAValidSeal)
+{
+  const NodeSettings settings = MakeSettings();
+  Ring<Event> events(16);
+  PeerControl::OpenResult opened = PeerControl::Open(settings, events, [](const ReportItem&) {});
+  PeerControl& control = *std::get<std::unique_ptr<PeerControl>>(opened);
+  control.Start();
+  const std::string text = "{\"jsonrpc\":\"2.0\",\"method\":\"mesh_config_offer\",\"params\":"
+                           "{\"sender\":{\"node\":\"a\",\"host\":\"h\",\"call_port\":1,"
+                           "\"control_port\":2},\"version\":7}}";
+  std::string damaged = EncodeFrame("secret", text);
+  damaged.back() = static_cast<char>(damaged.back() ^ 1);
+  asio::io_context io;
+  Udp::socket socket(io, Udp::endpoint(asio::ip::address_v4::loopback(), 0));
+  const Udp::endpoint to(asio::ip::address_v4::loopback(), control.Port());
+  const std::vector<std::string> datagrams{
+    "",
+    "x",
+    text,
+    damaged,
+    EncodeFrame("other", text),
+    EncodeFrame("secret", "{"),
+    // The only valid one; when it arrives, the others have been read.
+    EncodeFrame("secret", text)
+  };
+  for (const std::string& datagram : datagrams) {
+    socket.send_to(asio::buffer(datagram), to);
+  }
+  const std::vector<Event> received = events.PopAll(Clock::now() + kReceiveTimeout);
+  ASSERT_EQ(received.size(), 1U);
+  const PeerReceived& message = std::get<PeerReceived>(received[0]);
+  EXPECT_EQ(std::get<MeshConfigOffer>(message.Message()).Version(), 7U);
+}
+
+TEST(PeerControl, AnswersANodeOfAnEarlierVersionInItsForm)
+{
+  const NodeSettings settings = MakeSettings();
+  Ring<Event> events(16);
+  PeerControl::OpenResult opened = PeerControl::Open(settings, events, [](const ReportItem&) {});
+  PeerControl& control = *std::get<std::unique_ptr<PeerControl>>(opened);
+  control.Start();
+  const std::string notification = "{\"jsonrpc\":\"2.0\",\"method\":\"probe_request\",\"params\":"
+                                   "{\"sequence\":1,\"subject\":{\"node\":\"a\",\"host\":\"h\","
+                                   "\"call_port\":1,\"control_port\":2},\"sender\":{\"node\":\"b\","
+                                   "\"host\":\"h\",\"call_port\":1,\"control_port\":2}}}";
+  SendRequest(control.Port(),
+              "POST /control HTTP/1.1\r\nX-Jackdaw-Seal: " + wire::Seal("secret", notification) +
+                "\r\nContent-Length: " + std::to_string(notification.size()) + "\r\n\r\n" +
+                notification);
+  EXPECT_EQ(events.PopAll(Clock::now() + kReceiveTimeout).size(), 1U);
+  FakeServer earlier;
+  const PeerAddress address({ .node = "m", .host = "127.0.0.1", .controlPort = earlier.Port() });
+  control.Submit(
+    SendPeer({ .to = address, .message = MeshConfigOffer({ .sender = address, .version = 3 }) }),
+    Distance::kOwnDomain);
+  const HttpRequest request = earlier.Accept().ReadRequest();
+  EXPECT_EQ(request.target(), "/control");
+  EXPECT_TRUE(wire::SealMatches("secret", request.body(), View(request[kSealHeader])));
+  EXPECT_NE(request.body().find("\"version\":3"), std::string::npos) << request.body();
+}
+
 TEST(PeerControl, RefusesUnsealedAndInvalidMessages)
 {
   const NodeSettings settings = MakeSettings();
--- a/packages/node/tests/fake_endpoints.h
+++ b/packages/node/tests/fake_endpoints.h
@@ -34,6 +34,18 @@
 
   void Write(const std::string& aBytes) { asio::write(this->socket, asio::buffer(aBytes)); }
 
+  /// Writes the bytes again and again until the other end closes the connection; returns the number
+  /// of bytes written, at most about aMaxBytes.
+  std::size_t WriteUntilClosed(const std::string& aBytes, std::size_t aMaxBytes)
+  {
+    std::size_t written = 0;
+    ErrorCode error;
+    while (!error && written < aMaxBytes) {
+      written += asio::write(this->socket, asio::buffer(aBytes), error);
+    }
+    return written;
+  }
+
   HttpRequest ReadRequest()
   {
     HttpRequest request;
