--- a/packages/node/tests/control_test.cc
+++ b/packages/node/tests/control_test.cc
@@ -88,8 +88,10 @@
   from.Start();
   to.Start();
   const PeerAddress address({ .node = "m", .host = "127.0.0.1", .controlPort = to.Port() });
+  constexpr std::size_t kMembers = 1000;
   std::vector<Member> members;
-  for (int index = 0; index < 1000; ++index) {
+  members.reserve(kMembers);
+  for (std::size_t index = 0; index < kMembers; ++index) {
     members.push_back(Member({ .address = PeerAddress({ .node = wire::RandomId() }) }));
   }
   const MemberSync message({ .sender = address, .members = members, .reply = true });
