--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -541,6 +541,13 @@
 def run_case(case_folder, play):
     """Plays a case and exits: play(rig) returns a list of what broke the rule."""
     rig = None
+    code = COULD_NOT_RUN
+
+    def stop(_number, _frame):
+        raise CouldNotRun("stopped from outside, or out of time")
+
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
     try:
         rig = Rig(case_folder)
         rig.record.line(f"trouble: {'yes' if TROUBLE else 'no'}")
@@ -550,9 +557,8 @@
         rig.record.line("the rule was broken" if broken else "the rule held")
         print("broken" if broken else "held", *broken[:3], sep="\n  ")
         code = BROKEN if broken else HELD
-    except (CouldNotRun, OSError) as error:
-        print("could not run:", error)
-        code = COULD_NOT_RUN
+    except Exception as error:  # Whatever went wrong, the case says nothing about the rule.
+        print("could not run:", repr(error))
     finally:
         if rig is not None:
             rig.end()
