Write nothing after an exchange's time; count a write in progress as sent

Cause: when the process resumes, the finished connect and the expired time limit are ready together. OnConnected writes the request within the call; OnWritten, which counts the bytes, is queued behind OnTimeout, which then finds no byte written and reports NothingSent. The same exchange also began to write although its time was over, and its time started anew if the process was suspended between Start and its first handler.

Ruled out: a refusal beside the target and a target that had left (codes shed_at_target and no_target; the answers have connect_failed), the connect timeout (it is disarmed before the write), a reused connection (its first handler writes at once, and OnWritten is queued before any timer).

Evidence: OutgoingExchangeTest.SendsNothingIfItsTimePassedWhileItConnected runs the two handlers in this order. Before: NothingSent, and the other end holds the whole booking. SendsNothingIfItsTimePassedBeforeItBegan failed as well: the request was sent.

Change: an exchange whose time is over writes nothing, and an exchange with a write in progress counts as possibly sent. Both kinds of node and all hops use this class. The log client sets its mark before it writes; the store client concludes nothing from a failed write.

Left alone: a request that waits in the ring between the decision and the I/O thread while the process is suspended still starts with the time it had before; its answer stays true.

--- a/packages/node/outgoing_exchange.cc
+++ b/packages/node/outgoing_exchange.cc
@@ -32,6 +32,7 @@
   : network(aNetwork)
   , request(std::move(aRequest))
   , done(std::move(aDone))
+  , deadline(Clock::now() + this->request.timeout)
   , message(request.header)
   , buffer(aNetwork.maxHeaderBytes + kReadAheadBytes)
   , reservation(aNetwork.budget)
@@ -57,14 +58,17 @@
   if (!this->done) {
     return;
   }
-  this->totalTimer.Arm(this->request.timeout,
+  const Time now = Clock::now();
+  if (now >= this->deadline) {
+    this->Finish(NothingSent{});
+    return;
+  }
+  this->totalTimer.Arm(this->deadline - now,
                        [self = this->shared_from_this()] { self->OnTimeout(); });
   this->connection = this->network.pool.Take(this->request.endpoint, this->request.reuse);
   if (this->connection) {
     this->reused = true;
-    this->serializer.emplace(this->message);
-    this->ArmSilenceTimer();
-    this->WriteSome();
+    this->BeginWrite();
     return;
   }
   this->Connect();
@@ -96,8 +100,19 @@
   this->connection->socket.set_option(Tcp::no_delay(true), ignored);
   EnableDeadPeerDetection(this->connection->socket);
   this->connection->opened = Clock::now();
-  this->serializer.emplace(this->message);
   this->stepTimer.Disarm();
+  this->BeginWrite();
+}
+
+void
+OutgoingExchange::BeginWrite()
+{
+  // When a suspended process resumes, the connection may be open although the time is over.
+  if (Clock::now() >= this->deadline) {
+    this->Finish(NothingSent{});
+    return;
+  }
+  this->serializer.emplace(this->message);
   this->ArmSilenceTimer();
   this->WriteSome();
 }
@@ -105,6 +120,7 @@
 void
 OutgoingExchange::WriteSome()
 {
+  this->writing = true;
   http::async_write_some(
     this->connection->socket,
     *this->serializer,
@@ -119,6 +135,7 @@
   if (!this->done) {
     return;
   }
+  this->writing = false;
   this->anyWritten = this->anyWritten || aBytes > 0;
   if (aError && !this->anyWritten) {
     if (this->reused) {
@@ -249,7 +266,7 @@
     return;
   }
   this->network.pool.DiscardOpenedBefore(this->request.endpoint, Clock::now());
-  if (this->anyWritten) {
+  if (this->MayHaveSent()) {
     this->Finish(ConnectionBroken{ .silent = true });
   } else {
     this->Finish(NothingSent{});
@@ -262,7 +279,7 @@
   if (!this->done) {
     return;
   }
-  if (this->anyWritten) {
+  if (this->MayHaveSent()) {
     this->Finish(DeadlineExceeded{});
   } else {
     this->Finish(NothingSent{});
--- a/packages/node/outgoing_exchange.h
+++ b/packages/node/outgoing_exchange.h
@@ -47,7 +47,7 @@
   /// Shared by all attempts that send the same body.
   std::shared_ptr<const std::string> body;
   Reuse reuse = Reuse::kRecent;
-  /// Time limit for the whole exchange, connecting included.
+  /// Time limit for the whole exchange, connecting included, counted from Start().
   Duration timeout{};
   /// Longest time without a byte sent or received; nullopt for no such limit.
   std::optional<Duration> silenceLimit;
@@ -68,7 +68,8 @@
   BodyReservation reservation;
 };
 
-/// The exchange ended before any byte was written, usually since no connection could be opened.
+/// The exchange ended before any byte was written, usually since no connection could be opened. No
+/// byte is written later.
 struct NothingSent
 {};
 
@@ -115,6 +116,8 @@
   void Begin();
   void Connect();
   void OnConnected(const ErrorCode& aError);
+  /// Writes the request, unless its time limit has passed.
+  void BeginWrite();
   void WriteSome();
   void OnWritten(const ErrorCode& aError, std::size_t aBytes);
   void ReadAnswer();
@@ -126,14 +129,19 @@
   void ArmSilenceTimer();
   void OnSilence();
   void OnTimeout();
+  bool MayHaveSent() const { return this->writing || this->anyWritten; }
   void Finish(OutgoingResult aResult);
   void Close();
 
   OutgoingNetwork network;
   OutgoingRequest request;
   Done done;
+  Time deadline{};
   std::optional<PooledConnection> connection;
   bool reused = false;
+  /// Whether a write has begun whose result is not known yet. It may have sent bytes: the system
+  /// takes them when a write begins, and handlers that are ready already run before OnWritten.
+  bool writing = false;
   bool anyWritten = false;
   unsigned strayAnswers = 0;
   unsigned interimAnswers = 0;
--- a/packages/node/tests/fake_endpoints.h
+++ b/packages/node/tests/fake_endpoints.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <variant>
 
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/address_v4.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -75,6 +76,15 @@
     return response;
   }
 
+  /// All bytes until the other end closes the connection.
+  std::string ReadAll()
+  {
+    std::string bytes;
+    ErrorCode endOfStream;
+    asio::read(this->socket, asio::dynamic_buffer(bytes), endOfStream);
+    return bytes;
+  }
+
   void Close()
   {
     ErrorCode ignored;
@@ -95,8 +105,18 @@
   {
   }
 
-  std::uint16_t Port() const { return this->acceptor.local_endpoint().port(); }
+  std::uint16_t Port() const { return this->Endpoint().port(); }
+  Tcp::endpoint Endpoint() const { return this->acceptor.local_endpoint(); }
   FakeConnection Accept() { return FakeConnection(this->acceptor.accept()); }
+  /// Whether a connection waits to be accepted.
+  bool HasConnection()
+  {
+    ErrorCode error;
+    this->acceptor.non_blocking(true);
+    this->acceptor.accept(error);
+    this->acceptor.non_blocking(false);
+    return !error;
+  }
 
 private:
   asio::io_context io;
