Answer every request before the forced exit of a planned stop

Cause: GracefulShutdown ended at the forced exit whether requests were in progress or not, and nothing answered them. Only the node beside the target knows whether a waiting request runs, and it did not know that the entry node would be gone before the request's deadline.

Ruled out: the callers' deadlines (12 s; 5.8 s had passed) and a broken connection between the nodes (the other node saw its peer go only at the exit).

Change: at the start of a drain the node moves the deadlines of its requests to 0.2 s before its forced exit and tells the nodes where they wait (HopDeadlines, repeated every 0.3 s); those reject what can no longer run in time. A request that starts during the drain is given the time until then. At the forced exit what is left is answered: 503, not run, if it waited here, else 502. Requests of other nodes that wait beside the stopping node were cut in the same way and are rejected in time now.

Why it works: the refusal comes from the only node that can start the request, on the request's own connection, so that it proves "not run"; if it doesn't come, the final answer promises nothing.

--- a/packages/decisions/graceful_shutdown.cc
+++ b/packages/decisions/graceful_shutdown.cc
@@ -14,6 +14,12 @@
   return true;
 }
 
+bool
+GracefulShutdown::MustExit(Time aNow) const
+{
+  return this->Begun() && this->stage != Stage::kFinished && aNow >= this->times.forcedExitAt;
+}
+
 void
 GracefulShutdown::Advance(bool aIdle, Time aNow, Effects& aEffects)
 {
--- a/packages/decisions/graceful_shutdown.h
+++ b/packages/decisions/graceful_shutdown.h
@@ -1,10 +1,13 @@
 // Phases of a graceful shutdown. After a stop request the node serves new requests for a delay, so
 // that its callers and peers can learn of the shutdown; then it rejects new requests, and exits
-// once no request is in flight or a time limit has passed.
+// once no request is in flight or a time limit has passed. At the time limit, the owner answers
+// every request that is still in flight before the node exits.
 //
 //   GracefulShutdown shutdown;
 //   shutdown.Begin({ .refuseAt = now + delay, .forcedExitAt = now + limit }, effects);
-//   shutdown.Advance(entry.Count() == 0, now, effects);    // after every event
+//   const bool idle = entry.Count() == 0;                  // after every event
+//   if (!idle && shutdown.MustExit(now)) { ... answer all requests ... }
+//   shutdown.Advance(idle, now, effects);
 //
 // Not thread-safe.
 #pragma once
@@ -17,6 +20,10 @@
 class GracefulShutdown
 {
 public:
+  /// Time before the forced exit by which requests should have ended, so that their answers can
+  /// cross the network and be written. Two hops between regions take some tens of milliseconds.
+  static constexpr Duration kAnswerReserve = std::chrono::milliseconds(200);
+
   struct Times
   {
     /// Time from which new requests are rejected.
@@ -32,6 +39,10 @@
   void Advance(bool aIdle, Time aNow, Effects& aEffects);
 
   bool Begun() const { return this->stage != Stage::kServing; }
+  /// Whether the time limit has passed and the node has not exited yet.
+  bool MustExit(Time aNow) const;
+  /// Time by which requests in progress should have ended; only after Begin().
+  Time FinishBy() const { return this->times.forcedExitAt - kAnswerReserve; }
   /// Whether new requests are rejected; stays true after the shutdown has completed.
   bool RefusesNewRequests() const
   {
--- a/packages/decisions/mesh/entry_requests.cc
+++ b/packages/decisions/mesh/entry_requests.cc
@@ -131,8 +131,9 @@
   request.bodyBytes = aArrived.BodyBytes();
   request.service = this->modules.splits.Choose(*route);
   request.arrived = aNow;
-  request.deadline =
-    aNow + std::min<Duration>(aArrived.Timeout().value_or(route->Timeout()), route->Timeout());
+  const Duration timeout =
+    std::min<Duration>(aArrived.Timeout().value_or(route->Timeout()), route->Timeout());
+  request.deadline = std::min(aNow + timeout, this->latestDeadline);
   return request;
 }
 
@@ -187,6 +188,7 @@
   }
   ++request.attempt;
   request.node = peer->Node();
+  request.nodeDeadline = request.deadline;
   request.tried.insert(peer->Node());
   this->modules.picker.NoteSent(peer->Node());
   HopContext context({ .routeName = request.route.Name(),
@@ -455,6 +457,52 @@
   return taken;
 }
 
+void
+EntryRequests::LimitDeadlines(Time aLatest)
+{
+  this->latestDeadline = aLatest;
+  for (Requests::value_type& entry : this->requests) {
+    entry.second.deadline = std::min(entry.second.deadline, aLatest);
+  }
+}
+
+std::map<std::string, std::vector<std::string>>
+EntryRequests::HopsWithLaterDeadline() const
+{
+  std::map<std::string, std::vector<std::string>> hops;
+  for (const Requests::value_type& entry : this->requests) {
+    const Request& request = entry.second;
+    const bool forwarded = request.attempt > 0 && request.node != this->options.node;
+    if (forwarded && request.nodeDeadline > request.deadline) {
+      hops[request.node].push_back(request.id);
+    }
+  }
+  return hops;
+}
+
+bool
+EntryRequests::Withdraw(const Request& aRequest)
+{
+  if (aRequest.attempt == 0) {
+    this->modules.quota.Abandon(aRequest.exchange);
+    return true;
+  }
+  return aRequest.node == this->options.node && this->modules.target.Withdraw(aRequest.exchange);
+}
+
+void
+EntryRequests::FinishAll(Time aNow, Effects& aEffects)
+{
+  while (!this->requests.empty()) {
+    const Requests::iterator request = this->requests.begin();
+    if (this->Withdraw(request->second)) {
+      this->FinishRejected(request, ResultCode::kNodeDraining, RunState::kNotRun, aNow, aEffects);
+    } else {
+      this->FinishRejected(request, ResultCode::kAttemptLost, RunState::kUnknown, aNow, aEffects);
+    }
+  }
+}
+
 bool
 EntryRequests::Abandon(std::uint64_t aExchange, Time aNow, Effects& aEffects)
 {
--- a/packages/decisions/mesh/entry_requests.h
+++ b/packages/decisions/mesh/entry_requests.h
@@ -66,8 +66,15 @@
   /// Nodes to which a send failed or was lost since the last call.
   std::vector<std::string> TakeUnresponsiveNodes();
 
+  /// Moves the deadlines of all requests, present and future, to aLatest or earlier, because the
+  /// node exits then.
+  void LimitDeadlines(Time aLatest);
+  /// Requests in progress at other nodes that have been told a later deadline, by node.
+  std::map<std::string, std::vector<std::string>> HopsWithLaterDeadline() const;
   /// Rejects all new requests from now on.
   void RefuseNew() { this->rejectingNew = true; }
+  /// Answers all requests in progress, because the node exits now.
+  void FinishAll(Time aNow, Effects& aEffects);
   /// Requests in progress.
   std::size_t Count() const { return this->requests.size(); }
 
@@ -93,8 +100,9 @@
     /// Whether the throttle has been told that a node accepted the request.
     bool noted = false;
     std::set<std::string> tried;
-    /// Node of the current attempt.
+    /// Node of the current attempt, and the deadline that it was told.
     std::string node;
+    Time nodeDeadline{};
   };
 
   enum class Retry
@@ -129,6 +137,9 @@
                       RunState aRun,
                       Time aNow,
                       Effects& aEffects);
+  /// Removes a request that has not run yet from the quota's or the local target's queue. Returns
+  /// false if it may have run.
+  bool Withdraw(const Request& aRequest);
   /// Rejects a request that was not admitted and has no entry in the map of requests.
   void RejectUnadmitted(const MeshRequestArrived& aArrived, ResultCode aCode, Effects& aEffects);
   /// Tells the throttle whether the nodes of the service have room.
@@ -149,6 +160,7 @@
   Requests requests;
   std::vector<std::string> unresponsiveNodes;
   bool rejectingNew = false;
+  Time latestDeadline = Time::max();
 };
 
 } // namespace jackdawwind
--- a/packages/decisions/mesh/local_target.cc
+++ b/packages/decisions/mesh/local_target.cc
@@ -1,6 +1,7 @@
 #include "decisions/mesh/local_target.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 #include <variant>
 
@@ -41,20 +42,20 @@
     this->Refuse(aRequest, misdirected ? ResultCode::kNoTarget : this->UnavailableCode(), aEffects);
     return;
   }
+  Entry entry{ .request = aRequest, .offeredAt = aNow };
+  entry.request.deadline = std::min(aRequest.deadline, this->latestDeadline);
   const TargetScheduler::WaitingRequest waiting{
     .exchange = aRequest.exchange,
     .context = aRequest.context,
     .arrived = aNow,
-    .deadline = aRequest.deadline,
+    .deadline = entry.request.deadline,
   };
   switch (this->scheduler.Offer(waiting, aNow)) {
     case TargetScheduler::Verdict::kRun:
-      this->Run(this->requests[aRequest.exchange] = Entry{ .request = aRequest, .offeredAt = aNow },
-                aNow,
-                aEffects);
+      this->Run(this->requests[aRequest.exchange] = std::move(entry), aNow, aEffects);
       break;
     case TargetScheduler::Verdict::kWait:
-      this->requests[aRequest.exchange] = Entry{ .request = aRequest, .offeredAt = aNow };
+      this->requests[aRequest.exchange] = std::move(entry);
       break;
     case TargetScheduler::Verdict::kTooLate:
     case TargetScheduler::Verdict::kQueueFull:
@@ -254,6 +255,63 @@
   return true;
 }
 
+void
+LocalTarget::ShortenDeadline(Entry& aEntry, Time aDeadline)
+{
+  if (!aEntry.running) {
+    aEntry.request.deadline = std::min(aEntry.request.deadline, aDeadline);
+    this->scheduler.ShortenDeadline(aEntry.request.exchange, aDeadline);
+  }
+}
+
+void
+LocalTarget::LimitDeadlines(Time aLatest)
+{
+  this->latestDeadline = aLatest;
+  for (Entries::value_type& entry : this->requests) {
+    this->ShortenDeadline(entry.second, aLatest);
+  }
+}
+
+void
+LocalTarget::Receive(const HopDeadlines& aDeadlines, Time aNow)
+{
+  const std::vector<std::string>& ids = aDeadlines.Requests();
+  const std::set<std::string> named(ids.begin(), ids.end());
+  for (Entries::value_type& entry : this->requests) {
+    if (!entry.second.request.local && named.contains(entry.second.request.requestId)) {
+      this->ShortenDeadline(entry.second, aNow + aDeadlines.Remaining());
+    }
+  }
+}
+
+bool
+LocalTarget::Withdraw(std::uint64_t aExchange)
+{
+  return this->scheduler.Abandon(aExchange) && this->requests.erase(aExchange) > 0;
+}
+
+void
+LocalTarget::FinishAll(Effects& aEffects)
+{
+  for (const Entries::value_type& item : this->requests) {
+    const Entry& entry = item.second;
+    if (entry.request.local) {
+      continue;
+    }
+    const ResultCode code = entry.running ? ResultCode::kAttemptLost : ResultCode::kNodeDraining;
+    this->Finish(entry,
+                 HopAnswered({ .status = HttpStatus(code),
+                               .code = code,
+                               .run = entry.running ? RunState::kUnknown : RunState::kNotRun,
+                               .load = this->scheduler.LoadPerMille(),
+                               .slots = this->scheduler.Slots() }),
+                 aEffects);
+  }
+  this->requests.clear();
+  this->scheduler.TakeAll();
+}
+
 void
 LocalTarget::RefuseWaiting(Effects& aEffects)
 {
--- a/packages/decisions/mesh/local_target.h
+++ b/packages/decisions/mesh/local_target.h
@@ -57,6 +57,16 @@
   /// exchange is unknown.
   bool Abandon(std::uint64_t aExchange, Time aNow, Effects& aEffects);
 
+  /// Moves the deadlines of all waiting and future requests to aLatest or earlier, because the node
+  /// exits then.
+  void LimitDeadlines(Time aLatest);
+  /// Moves the deadlines of the named hops closer if they are waiting.
+  void Receive(const HopDeadlines& aDeadlines, Time aNow);
+  /// Removes a waiting request, which then never runs. Returns false if it is not waiting.
+  bool Withdraw(std::uint64_t aExchange);
+  /// Answers all hops and forgets all requests, because the node exits now.
+  void FinishAll(Effects& aEffects);
+
   /// Returns true if the registration changed: instance, service, state or slots.
   bool Receive(const TargetHeartbeat& aBeat, Time aNow, Effects& aEffects);
   /// Returns true if the current instance signed off.
@@ -93,6 +103,7 @@
   /// Result code of requests for a target that does not accept them.
   ResultCode UnavailableCode() const;
   void Run(Entry& aEntry, Time aNow, Effects& aEffects);
+  void ShortenDeadline(Entry& aEntry, Time aDeadline);
   void RunWaiting(Time aNow, Effects& aEffects);
   /// Rejects the waiting requests that can no longer finish before their deadline.
   void RefuseExpired(Time aNow, Effects& aEffects);
@@ -110,6 +121,7 @@
   std::vector<Outcome> outcomes;
   /// No request is sent before this time, because the target refused a connection.
   Time unreachableUntil{};
+  Time latestDeadline = Time::max();
 };
 
 } // namespace jackdawwind
--- a/packages/decisions/mesh/mesh_core.cc
+++ b/packages/decisions/mesh/mesh_core.cc
@@ -36,6 +36,9 @@
 
 /// Time for the discovery of peers after the start; a node that finds none by then serves alone.
 constexpr Duration kDiscoveryTimeout = std::chrono::milliseconds(1500);
+/// Time between two HopDeadlines messages to a node. They are small and only sent during a
+/// shutdown.
+constexpr Duration kHopDeadlinesInterval = std::chrono::milliseconds(300);
 
 } // namespace
 
@@ -93,6 +96,7 @@
                       this->quota.NextWake(),
                       this->target.NextWake(),
                       this->shutdown.NextWake(),
+                      this->nextHopDeadlines,
                       servingAt });
   }
 
@@ -187,6 +191,9 @@
                                .forcedExitAt = aNow + this->options.drainTimeout },
                              aEffects)) {
       this->membership.Leave(aNow, aEffects);
+      this->entry.LimitDeadlines(this->shutdown.FinishBy());
+      this->target.LimitDeadlines(this->shutdown.FinishBy());
+      this->nextHopDeadlines = aNow;
     }
   }
   /// TimerFired, whose work ProcessPendingWork does, and events that only NodeCore handles.
@@ -244,6 +251,10 @@
     this->quota.NotePeerMessage(aNow);
     this->quota.Receive(aMessage, aNow);
   }
+  void OnPeer(const HopDeadlines& aMessage, Time aNow, Effects& /*aEffects*/)
+  {
+    this->target.Receive(aMessage, aNow);
+  }
   /// Messages that only NodeCore handles.
   template<typename Other>
   void OnPeer(const Other& /*aMessage*/, Time /*aNow*/, Effects& /*aEffects*/)
@@ -293,6 +304,7 @@
       this->membership.ReportUnresponsive(node, aNow);
     }
     this->UpdateStoreReader(aNow, aEffects);
+    this->SendHopDeadlines(aNow, aEffects);
     this->AdvanceShutdown(aNow, aEffects);
     this->PublishPhase(aNow, aEffects);
     for (const Effect& effect : aEffects) {
@@ -326,9 +338,34 @@
     }
   }
 
+  /// Tells other nodes the deadlines that a shutdown has moved, again and again since the messages
+  /// may be lost: a request that waits beyond the exit of its entry node must be answered before.
+  void SendHopDeadlines(Time aNow, Effects& aEffects)
+  {
+    if (aNow < this->nextHopDeadlines) {
+      return;
+    }
+    for (const auto& [node, requests] : this->entry.HopsWithLaterDeadline()) {
+      const std::map<std::string, Member>::const_iterator member =
+        this->membership.Members().find(node);
+      if (member != this->membership.Members().end()) {
+        aEffects.push_back(
+          SendPeer({ .to = member->second.Address(),
+                     .message = HopDeadlines({ .sender = this->options.self.Node(),
+                                               .requests = requests,
+                                               .remaining = this->shutdown.FinishBy() - aNow }) }));
+      }
+    }
+    this->nextHopDeadlines = aNow + kHopDeadlinesInterval;
+  }
+
   void AdvanceShutdown(Time aNow, Effects& aEffects)
   {
     const bool idle = this->entry.Count() == 0 && this->target.Count() == 0;
+    if (!idle && this->shutdown.MustExit(aNow)) {
+      this->entry.FinishAll(aNow, aEffects);
+      this->target.FinishAll(aEffects);
+    }
     this->shutdown.Advance(idle, aNow, aEffects);
     if (this->shutdown.RefusesNewRequests()) {
       this->entry.RefuseNew();
@@ -382,6 +419,8 @@
   LocalTarget target;
   EntryRequests entry;
   GracefulShutdown shutdown;
+  /// Time of the next HopDeadlines messages; Time::max() unless the node is shutting down.
+  Time nextHopDeadlines = Time::max();
   Phase phase = Phase::kBooting;
   Time startedAt{};
   std::uint64_t appliedChanges = 0;
--- a/packages/decisions/mesh/target_scheduler.cc
+++ b/packages/decisions/mesh/target_scheduler.cc
@@ -194,6 +194,21 @@
   return true;
 }
 
+void
+TargetScheduler::ShortenDeadline(std::uint64_t aExchange, Time aDeadline)
+{
+  const auto found = this->byExchange.find(aExchange);
+  if (found == this->byExchange.end()) {
+    return;
+  }
+  const Key key = found->second;
+  Entry& entry = this->waiting.at(key);
+  this->byExpiry.erase({ entry.expiry, key });
+  entry.request.deadline = std::min(entry.request.deadline, aDeadline);
+  entry.expiry = this->ExpiryOf(entry.request);
+  this->byExpiry.emplace(entry.expiry, key);
+}
+
 void
 TargetScheduler::Finish(const HopContext& aContext, const Completion& aCompletion, Time aNow)
 {
--- a/packages/decisions/mesh/target_scheduler.h
+++ b/packages/decisions/mesh/target_scheduler.h
@@ -73,6 +73,8 @@
   std::vector<WaitingRequest> TakeAll();
   /// Removes a waiting request whose caller has disconnected. Returns false if it is not waiting.
   bool Abandon(std::uint64_t aExchange);
+  /// Moves the deadline of a request closer if it is waiting.
+  void ShortenDeadline(std::uint64_t aExchange, Time aDeadline);
   /// Result of a running request.
   struct Completion
   {
--- a/packages/decisions/tests/fake_mesh.cc
+++ b/packages/decisions/tests/fake_mesh.cc
@@ -327,7 +327,8 @@
   void operator()(const SendPeer& aEffect) const
   {
     const std::string to = aEffect.To().Node();
-    if (!this->mesh.nodes.contains(to) || !this->mesh.Reachable(this->node.host.node, to)) {
+    if (this->mesh.losingMessages || !this->mesh.nodes.contains(to) ||
+        !this->mesh.Reachable(this->node.host.node, to)) {
       return;
     }
     this->mesh.draws += std::holds_alternative<QuotaDraw>(aEffect.Message()) ? 1 : 0;
--- a/packages/decisions/tests/fake_mesh.h
+++ b/packages/decisions/tests/fake_mesh.h
@@ -103,6 +103,8 @@
   void SetIsolated(const std::string& aNode, bool aIsolated);
   /// Drops all messages between these nodes and the others; an empty set ends the partition.
   void Partition(std::set<std::string> aNodes) { this->partition = std::move(aNodes); }
+  /// Drops all control messages between nodes, or delivers them again; requests still pass.
+  void LoseMessages(bool aLose) { this->losingMessages = aLose; }
   void Drain(const std::string& aNode) { this->Deliver(aNode, DrainRequested()); }
 
   /// Makes all nodes read the configuration from the store.
@@ -177,6 +179,7 @@
   std::map<std::string, Work> workByPrefix;
   std::set<std::string> isolated;
   std::set<std::string> partition;
+  bool losingMessages = false;
   std::vector<NodeAnnounced> registered;
   std::map<std::uint64_t, Answer> answers;
   std::map<std::uint64_t, std::pair<std::string, std::uint64_t>> origins;
