Handle the events that are queued when the decision thread stops

What callers would see: a request that was read whole while a node stops, after its last check that nothing is in progress, gets no answer; its connection is closed.

Cause: DecisionLoop left its loop as soon as its ring was closed and dropped the events in it.

Change: a pass that begins with the ring closed takes the last events. The core rejects them as not run, since the shutdown has finished, and the I/O thread, which stops after the decision thread, writes the answers. Requests that arrive still later find the ring closed and are refused by the I/O thread (node_busy).

Conclusion: fixed for both kinds of node, which share the loop.

--- a/packages/node/decision_loop.h
+++ b/packages/node/decision_loop.h
@@ -102,7 +102,7 @@
     this->thread = std::thread([this] { this->Run(); });
   }
 
-  /// Closes the event ring and joins the thread.
+  /// Closes the event ring and joins the thread, which handles the events in the ring first.
   void Stop()
   {
     this->events.Close();
@@ -115,7 +115,11 @@
   void Run()
   {
     this->Route(this->core.Start(Clock::now()));
-    while (!this->events.Closed()) {
+    bool closed = false;
+    while (!closed) {
+      // A pass that begins with the ring closed takes the last events: requests that were read just
+      // before the stop, which the core has to reject.
+      closed = this->events.Closed();
       const std::vector<Event> batch = this->events.PopAll(this->core.NextWake());
       for (const Event& event : batch) {
         this->Route(this->core.Handle(event, Clock::now()));
