Reject requests of other nodes after the drain delay

Cause: MeshCore rejected callers' requests after the drain delay, not those that other nodes forward. Nodes that know of the stop send none, but the announcement may be lost. The check for callers' requests ran after an event, so that the first one after the delay was still taken.

Ruled out: callers' requests at the stopping node, which were rejected; NodeCore, which rejected forwarded calls already.

Evidence: ForcedExit.RequestsOfOtherNodesAreRejectedAfterTheDrainDelay. Before, a booking of four seconds ran and was answered as unknown; after, rejected as not run.

Change: both cores compare the time before they handle an event, and MeshCore rejects forwarded requests with node_draining.

--- a/packages/decisions/graceful_shutdown.h
+++ b/packages/decisions/graceful_shutdown.h
@@ -44,10 +44,7 @@
   /// Time by which requests in progress should have ended; only after Begin().
   Time FinishBy() const { return this->times.forcedExitAt - kAnswerReserve; }
   /// Whether new requests are rejected; stays true after the shutdown has completed.
-  bool RefusesNewRequests() const
-  {
-    return this->stage == Stage::kRefusing || this->stage == Stage::kFinished;
-  }
+  bool RefusesNewRequests(Time aNow) const { return this->Begun() && aNow >= this->times.refuseAt; }
   /// Time at which Advance() is due; Time::max() when no phase change is pending.
   Time NextWake() const;
 
--- a/packages/decisions/mesh/local_target.h
+++ b/packages/decisions/mesh/local_target.h
@@ -49,6 +49,8 @@
 
   /// Sends a request to the target, queues it, or rejects it.
   void Offer(const Request& aRequest, Time aNow, Effects& aEffects);
+  /// Rejects a request without offering it to the target.
+  void Refuse(const Request& aRequest, ResultCode aCode, Effects& aEffects);
   /// Handles the result of a send to the target. Returns false if the exchange and attempt belong
   /// to no request here.
   bool Receive(const SendEnded& aEnded, Time aNow, Effects& aEffects);
@@ -107,8 +109,6 @@
   void RunWaiting(Time aNow, Effects& aEffects);
   /// Rejects the waiting requests that can no longer finish before their deadline.
   void RefuseExpired(Time aNow, Effects& aEffects);
-  /// Rejects a request that was not sent to the target.
-  void Refuse(const Request& aRequest, ResultCode aCode, Effects& aEffects);
   /// Rejects all waiting requests.
   void RefuseWaiting(Effects& aEffects);
   void Finish(const Entry& aEntry, const HopAnswered& aAnswer, Effects& aEffects);
--- a/packages/decisions/mesh/mesh_core.cc
+++ b/packages/decisions/mesh/mesh_core.cc
@@ -81,6 +81,9 @@
   Effects Handle(const Event& aEvent, Time aNow)
   {
     Effects effects;
+    if (this->shutdown.RefusesNewRequests(aNow)) {
+      this->entry.RefuseNew();
+    }
     std::visit([this, aNow, &effects](const auto& aMember) { this->On(aMember, aNow, effects); },
                aEvent);
     this->ProcessPendingWork(aNow, effects);
@@ -121,12 +124,15 @@
   }
   void On(const HopArrived& aEvent, Time aNow, Effects& aEffects)
   {
-    this->target.Offer({ .exchange = aEvent.Exchange(),
-                         .requestId = aEvent.RequestId(),
-                         .context = aEvent.Context(),
-                         .deadline = aNow + aEvent.Context().Remaining() },
-                       aNow,
-                       aEffects);
+    const LocalTarget::Request request{ .exchange = aEvent.Exchange(),
+                                        .requestId = aEvent.RequestId(),
+                                        .context = aEvent.Context(),
+                                        .deadline = aNow + aEvent.Context().Remaining() };
+    if (this->shutdown.RefusesNewRequests(aNow)) {
+      this->target.Refuse(request, ResultCode::kNodeDraining, aEffects);
+    } else {
+      this->target.Offer(request, aNow, aEffects);
+    }
   }
   void On(const SendEnded& aEvent, Time aNow, Effects& aEffects)
   {
@@ -367,9 +373,6 @@
       this->target.FinishAll(aEffects);
     }
     this->shutdown.Advance(idle, aNow, aEffects);
-    if (this->shutdown.RefusesNewRequests()) {
-      this->entry.RefuseNew();
-    }
   }
 
   void PublishPhase(Time aNow, Effects& aEffects)
--- a/packages/decisions/node_core.cc
+++ b/packages/decisions/node_core.cc
@@ -110,6 +110,9 @@
   Effects Handle(const Event& aEvent, Time aNow)
   {
     Effects effects;
+    if (this->shutdown.RefusesNewRequests(aNow)) {
+      this->entry.RefuseRootCalls();
+    }
     std::visit([this, aNow, &effects](const auto& aMember) { this->On(aMember, aNow, effects); },
                aEvent);
     this->ProcessPendingWork(aNow, effects);
@@ -143,7 +146,7 @@
   }
   void On(const AttemptArrived& aEvent, Time aNow, Effects& aEffects)
   {
-    if (this->shutdown.RefusesNewRequests()) {
+    if (this->shutdown.RefusesNewRequests(aNow)) {
       this->admitted.RefuseAttempt(aEvent, ResultCode::kNodeDraining, aEffects);
       return;
     }
@@ -352,9 +355,6 @@
     const bool idle =
       this->entry.Count() == 0 && this->admitted.Count() == 0 && this->claims.Idle();
     this->shutdown.Advance(idle, aNow, aEffects);
-    if (this->shutdown.RefusesNewRequests()) {
-      this->entry.RefuseRootCalls();
-    }
   }
 
   void PublishPhase(Effects& aEffects)
--- a/packages/decisions/tests/forced_exit_test.cc
+++ b/packages/decisions/tests/forced_exit_test.cc
@@ -132,6 +132,20 @@
   }
 }
 
+// Guards against requests that a stopping node takes from nodes that do not know of the stop: they
+// would be cut at its exit, and a booking that was running may not be repeated.
+TEST(ForcedExit, RequestsOfOtherNodesAreRejectedAfterTheDrainDelay)
+{
+  FakeMesh mesh(1);
+  StartBookings(mesh, { .time = seconds(4) });
+  mesh.LoseMessages(true);
+  mesh.Drain("a2");
+  mesh.Advance(MeshCore::Options().drainDelay);
+  const std::vector<std::uint64_t> late = Book(mesh, "a3", 1);
+  mesh.Advance(kUntilExit - MeshCore::Options().drainDelay);
+  ExpectNotRun(mesh, late);
+}
+
 // Guards against a request that starts so late that the exit of its entry node cuts it: the target
 // has to be told the time that is really left.
 TEST(ForcedExit, ARequestThatStartsDuringTheDrainIsGivenTheTimeUntilTheExit)
