Serve the calls of running requests during a drain

What callers would see: a request that runs beside a stopping node fails with its target's 500 if it makes a call after the drain delay, although it was accepted before; a booking has then run in part.

Cause: MeshCore rejected every request that entered at the node after the drain delay, also its own target's. A target has no other way to make its calls.

Evidence: ForcedExit.CallsOfRunningRequestsAreServedDuringTheDrain: the call was rejected before (one run at a target instead of two).

Change: while the local target runs anything, a stopping node accepts requests on open routes, since such a request may be a call of what runs. Their deadlines end before the forced exit, and nothing is accepted once all requests have been answered there.

Ruled out: accepting all open routes, which would let callers keep the node busy.

Conclusion: fixed. Left alone: a configuration without organisations, where calls and callers' requests can't be told apart, rejects both as before.

--- a/packages/decisions/mesh/entry_requests.cc
+++ b/packages/decisions/mesh/entry_requests.cc
@@ -106,10 +106,10 @@
   if (table == nullptr) {
     return ResultCode::kNotConfigured;
   }
-  if (this->rejectingNew) {
+  const MeshRoute* route = table->Find(aArrived.Host(), aArrived.Path());
+  if (this->rejectingNew && !this->MayBeNestedCall(*table, route)) {
     return ResultCode::kNodeDraining;
   }
-  const MeshRoute* route = table->Find(aArrived.Host(), aArrived.Path());
   if (route == nullptr) {
     return ResultCode::kUnknownRoute;
   }
@@ -137,6 +137,13 @@
   return request;
 }
 
+bool
+EntryRequests::MayBeNestedCall(const RouteTable& aTable, const MeshRoute* aRoute) const
+{
+  const bool open = aRoute != nullptr && aTable.NeedsKeys() && aRoute->Open();
+  return open && this->modules.target.Scheduler().Running() > 0;
+}
+
 void
 EntryRequests::AcquireToken(Requests::iterator aRequest, Time aNow, Effects& aEffects)
 {
--- a/packages/decisions/mesh/entry_requests.h
+++ b/packages/decisions/mesh/entry_requests.h
@@ -71,7 +71,8 @@
   void LimitDeadlines(Time aLatest);
   /// Requests in progress at other nodes that have been told a later deadline, by node.
   std::map<std::string, std::vector<std::string>> HopsWithLaterDeadline() const;
-  /// Rejects all new requests from now on.
+  /// Rejects new requests from now on. Calls of requests that the local target is running are still
+  /// accepted: they belong to requests in progress.
   void RefuseNew() { this->rejectingNew = true; }
   /// Answers all requests in progress, because the node exits now.
   void FinishAll(Time aNow, Effects& aEffects);
@@ -118,6 +119,9 @@
   using Admission = std::variant<Request, ResultCode>;
 
   Admission Admit(const MeshRequestArrived& aArrived, Time aNow);
+  /// Whether a request on this route (null for none) may be a call of a request that the local
+  /// target is running.
+  bool MayBeNestedCall(const RouteTable& aTable, const MeshRoute* aRoute) const;
   void AcquireToken(Requests::iterator aRequest, Time aNow, Effects& aEffects);
   void SendFirst(Requests::iterator aRequest, Time aNow, Effects& aEffects);
   /// Returns false if no target is left to try or too little time remains.
--- a/packages/decisions/mesh/local_target.cc
+++ b/packages/decisions/mesh/local_target.cc
@@ -309,7 +309,7 @@
                  aEffects);
   }
   this->requests.clear();
-  this->scheduler.TakeAll();
+  this->scheduler = TargetScheduler();
 }
 
 void
--- a/packages/decisions/tests/forced_exit_test.cc
+++ b/packages/decisions/tests/forced_exit_test.cc
@@ -146,6 +146,24 @@
   ExpectNotRun(mesh, late);
 }
 
+// Guards against running requests that fail during a drain, because the calls that they make are
+// rejected like new requests.
+TEST(ForcedExit, CallsOfRunningRequestsAreServedDuringTheDrain)
+{
+  FakeMesh mesh(1);
+  StartBookings(mesh, { .time = seconds(3), .calls = { "/tariff/1" } });
+  Book(mesh, "a3", 1);
+  mesh.Drain("a2");
+  mesh.Advance(milliseconds(3100));
+  ASSERT_EQ(mesh.Runs().size(), 2U);
+  EXPECT_EQ(mesh.Runs().back().node, "a4");
+  // Nothing runs beside the node any more, so that this can only be a caller's request.
+  const std::uint64_t request = mesh.Request("a2", "inner", "/tariff/1", std::nullopt);
+  mesh.Advance(milliseconds(10));
+  ASSERT_NE(mesh.AnswerTo(request), nullptr);
+  EXPECT_EQ(mesh.AnswerTo(request)->code, ResultCode::kNodeDraining);
+}
+
 // Guards against a request that starts so late that the exit of its entry node cuts it: the target
 // has to be told the time that is really left.
 TEST(ForcedExit, ARequestThatStartsDuringTheDrainIsGivenTheTimeUntilTheExit)
