Answer the calls in progress at NodeCore's forced exit

What callers see: a call that is still in progress at the drain timeout (30 s by default) of a node with the product's own interface ends with a closed connection.

Evidence: Session.CallsInProgressAtTheForcedExitAreAnswered, in which the fake now tells a closed connection from an answer. Before: closed. After: answered as unknown.

Change: EntryCalls and AdmittedCalls answer what they hold, as not run if it was never dispatched, else as unknown. Operations and result codes say so.

Ruled out: moving deadlines as on the platform; the drain timeout is longer than the default attempt timeout (2 s) by far.

Left alone: a call whose claim is still being settled is answered as not run, which is true, but its claim may win later and hold the key for the claim window, since its owner is gone.

--- a/packages/decisions/calls/admitted_calls.cc
+++ b/packages/decisions/calls/admitted_calls.cc
@@ -155,6 +155,19 @@
   this->ApplyVerdicts(this->controller.Finish(aAbandoned.Exchange(), Lost(), aNow), aNow, aEffects);
 }
 
+void
+AdmittedCalls::FinishAll(Time aNow, Effects& aEffects)
+{
+  while (!this->calls.empty()) {
+    const CallMap::iterator call = this->calls.begin();
+    if (call->second.callId.empty()) {
+      this->FinishRefused(call, ResultCode::kNodeDraining, RunState::kNotRun, aNow, aEffects);
+    } else {
+      this->FinishRefused(call, ResultCode::kAttemptLost, RunState::kUnknown, aNow, aEffects);
+    }
+  }
+}
+
 void
 AdmittedCalls::Poll(Time aNow, Effects& aEffects)
 {
--- a/packages/decisions/calls/admitted_calls.h
+++ b/packages/decisions/calls/admitted_calls.h
@@ -41,6 +41,9 @@
   /// Refuses an attempt without offering it to admission control.
   void RefuseAttempt(const AttemptArrived& aArrived, ResultCode aCode, Effects& aEffects);
 
+  /// Answers all queued and running calls, because the node exits now.
+  void FinishAll(Time aNow, Effects& aEffects);
+
   /// Applies the verdicts that are due at this time.
   void Poll(Time aNow, Effects& aEffects);
 
--- a/packages/decisions/calls/entry_calls.cc
+++ b/packages/decisions/calls/entry_calls.cc
@@ -428,6 +428,21 @@
   this->Erase(found, ResultCode::kCancelled, aNow, aEffects);
 }
 
+void
+EntryCalls::FinishAll(Time aNow, Effects& aEffects)
+{
+  while (!this->calls.empty()) {
+    const CallMap::iterator call = this->calls.begin();
+    if (call->second.attempt > 0) {
+      this->FinishRefused(call, ResultCode::kAttemptLost, RunState::kUnknown, aNow, aEffects);
+      continue;
+    }
+    this->modules.rate.Abandon(call->first);
+    this->modules.claims.Abandon(call->first);
+    this->FinishRefused(call, ResultCode::kNodeDraining, RunState::kNotRun, aNow, aEffects);
+  }
+}
+
 void
 EntryCalls::Erase(CallMap::iterator aCall, ResultCode aCode, Time aNow, Effects& aEffects)
 {
--- a/packages/decisions/calls/entry_calls.h
+++ b/packages/decisions/calls/entry_calls.h
@@ -57,6 +57,8 @@
 
   /// Refuses root calls from now on; child calls of running calls are still accepted.
   void RefuseRootCalls() { this->refusingRootCalls = true; }
+  /// Answers all calls in progress, because the node exits now.
+  void FinishAll(Time aNow, Effects& aEffects);
 
   /// Number of calls in progress.
   std::size_t Count() const { return this->calls.size(); }
--- a/packages/decisions/node_core.cc
+++ b/packages/decisions/node_core.cc
@@ -354,6 +354,10 @@
   {
     const bool idle =
       this->entry.Count() == 0 && this->admitted.Count() == 0 && this->claims.Idle();
+    if (!idle && this->shutdown.MustExit(aNow)) {
+      this->entry.FinishAll(aNow, aEffects);
+      this->admitted.FinishAll(aNow, aEffects);
+    }
     this->shutdown.Advance(idle, aNow, aEffects);
   }
 
--- a/packages/decisions/tests/session.cc
+++ b/packages/decisions/tests/session.cc
@@ -220,7 +220,7 @@
   for (const std::pair<std::pair<std::string, std::uint64_t>, Origin>& entry : broken) {
     this->origins.erase(entry.first);
     if (entry.second.atEntry) {
-      entry.second.onReply({ ResultCode::kAttemptLost, RunState::kUnknown, 0 });
+      entry.second.onReply({ ResultCode::kAttemptLost, RunState::kUnknown, 0, true });
     } else {
       this->Deliver(entry.second.node,
                     AttemptEnded({ .exchange = entry.second.exchange,
--- a/packages/decisions/tests/session.h
+++ b/packages/decisions/tests/session.h
@@ -62,12 +62,14 @@
   bool retriesChildren = false;
 };
 
-/// Answer that a caller received.
+/// Answer that a caller received, or the end of its connection.
 struct Reply
 {
   ResultCode code = ResultCode::kOk;
   RunState run = RunState::kRan;
   std::uint32_t status = 0;
+  /// Whether the connection was closed without an answer.
+  bool closed = false;
 };
 
 /// Behaviour of the fake log.
--- a/packages/decisions/tests/session_test.cc
+++ b/packages/decisions/tests/session_test.cc
@@ -210,6 +210,33 @@
   EXPECT_EQ(CompareWithGolden("drain.txt", session.Transcript()), "");
 }
 
+// Guards against calls that are still in progress at the forced exit and get no answer.
+TEST(Session, CallsInProgressAtTheForcedExitAreAnswered)
+{
+  Session session(6);
+  StartFleet(session);
+  Service::Fields service = MakeService("hires").ToFields();
+  service.routes.push_back(Route({ .method = "GET",
+                                   .prefix = "/slow",
+                                   .importance = Importance::kNormal,
+                                   .idempotent = true,
+                                   .attemptTimeoutMs = seconds(60) }));
+  session.Configure({ Service(std::move(service)) });
+  session.SetPlan("hires", "/slow", { .serviceTime = seconds(60) });
+  session.Run(seconds(5));
+  RequestSpec slow = MakeLookup("hires", "/slow");
+  slow.timeout = seconds(60);
+  const std::uint64_t call = session.Call("a2", slow);
+  session.Run(milliseconds(100));
+  session.Drain("a2");
+  const NodeSettings settings;
+  session.Run(settings.DrainDelayMs() + settings.DrainTimeoutMs() + milliseconds(1));
+  EXPECT_FALSE(session.IsRunning("a2"));
+  ASSERT_TRUE(session.Replies().contains(call));
+  EXPECT_FALSE(session.Replies().at(call).closed);
+  EXPECT_EQ(session.Replies().at(call).run, RunState::kUnknown);
+}
+
 /// Starts aDepth services, s1, s2 and so on, with two nodes each. Each service calls the next one,
 /// and the last one breaks the connection.
 void
