Remember the sign-off of a target that this node does not know yet

The target's first message to it was its sign-off, which was acknowledged. A heartbeat from before the restart came seconds later, was taken as new, and requests ran at the target for up to 8 s after it had left.

Cause: TargetRegistration kept nothing of a sign-off whose instance is not the current one, and a node that has just started has none. The start time in the body was not read, so that a late sign-off of an earlier start also took out the running one.

Ruled out: the sequence number and start time of the late heartbeat: without a restart the same one is rejected (306 reason=stale).

Evidence: lines of the restarted node on the old build: 306 reason=not_current for the sign-off, then 304 state=ready. TargetRegistration.LateReportAfterASignOffOf..., LateReportsOfSeveralEndedInstances..., LateSignOffOfAnEarlierStart... and MeshCore.LateReportAfterASignOffAtARestartedNodeIsIgnored fail with the old behaviour put back.

Change: the registration remembers the last sixteen sign-offs by instance and start time for five minutes, and the start time is read from the body. A sign-off that states none counts for all starts of that instance before its receipt; a later start under the same id is used.

Why it works: a report that was sent before the sign-off states the same instance and a start that is not later.

--- a/packages/decisions/mesh/local_target.cc
+++ b/packages/decisions/mesh/local_target.cc
@@ -350,14 +350,15 @@
 }
 
 bool
-LocalTarget::Receive(const TargetDeregistered& aGone, Time /*aNow*/, Effects& aEffects)
+LocalTarget::Receive(const TargetDeregistered& aGone, Time aNow, Effects& aEffects)
 {
-  if (!this->registration.Receive(aGone)) {
-    AddLogLine(
-      aEffects, LogEvent::kBeatRejected, "instance=" + aGone.Instance() + " reason=not_current");
+  const bool current = this->registration.Receive(aGone, aNow);
+  AddLogLine(aEffects,
+             LogEvent::kTargetChanged,
+             "instance=" + aGone.Instance() + " state=gone" + (current ? "" : " current=no"));
+  if (!current) {
     return false;
   }
-  AddLogLine(aEffects, LogEvent::kTargetChanged, "instance=" + aGone.Instance() + " state=gone");
   this->RefuseWaiting(aEffects);
   return true;
 }
--- a/packages/decisions/mesh/local_target.h
+++ b/packages/decisions/mesh/local_target.h
@@ -71,7 +71,7 @@
 
   /// Returns true if the registration changed: instance, service, state or slots.
   bool Receive(const TargetHeartbeat& aBeat, Time aNow, Effects& aEffects);
-  /// Returns true if the current instance signed off.
+  /// Returns true if the current instance signed off. The sign-off of another one is remembered.
   bool Receive(const TargetDeregistered& aGone, Time aNow, Effects& aEffects);
 
   /// Rejects expired requests, starts waiting ones and checks the registration's lease. Returns
--- a/packages/decisions/mesh/target_registration.cc
+++ b/packages/decisions/mesh/target_registration.cc
@@ -1,13 +1,23 @@
 #include "decisions/mesh/target_registration.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace jackdawwind {
 
 bool
-TargetRegistration::IsStale(const TargetHeartbeat& aBeat) const
+TargetRegistration::HasSignedOff(const TargetHeartbeat& aBeat, Time aNow) const
 {
-  if (aBeat.Instance() == this->endedInstance && aBeat.StartedAtMs() <= this->endedBorn) {
+  const std::map<std::string, SignOff>::const_iterator found =
+    this->signOffs.find(aBeat.Instance());
+  return found != this->signOffs.end() && aBeat.StartedAtMs() <= found->second.startedByMs &&
+         aNow < found->second.receivedAt + kSignOffLifetime;
+}
+
+bool
+TargetRegistration::IsStale(const TargetHeartbeat& aBeat, Time aNow) const
+{
+  if (this->HasSignedOff(aBeat, aNow)) {
     return true;
   }
   const std::optional<TargetHeartbeat>& known = this->current ? this->current : this->lapsed;
@@ -23,7 +33,7 @@
 TargetRegistration::Verdict
 TargetRegistration::Receive(const TargetHeartbeat& aBeat, Time aNow)
 {
-  if (this->IsStale(aBeat)) {
+  if (this->IsStale(aBeat, aNow)) {
     return Verdict::kStale;
   }
   const bool unchanged = this->current && this->current->Instance() == aBeat.Instance() &&
@@ -38,19 +48,44 @@
 }
 
 bool
-TargetRegistration::Receive(const TargetDeregistered& aGone)
+TargetRegistration::Receive(const TargetDeregistered& aGone, Time aNow)
 {
-  if (!this->current || this->current->Instance() != aGone.Instance()) {
+  const bool known = this->current && this->current->Instance() == aGone.Instance();
+  if (!known) {
+    // Without a stated start, no start before the receipt can be told from the one that ended.
+    this->Remember(aGone.Instance(), { aGone.StartedAtMs().value_or(aGone.ReceivedAtMs()), aNow });
+    return false;
+  }
+  const std::uint64_t currentStart = this->current->StartedAtMs();
+  const std::uint64_t startedByMs = aGone.StartedAtMs().value_or(currentStart);
+  this->Remember(aGone.Instance(), { startedByMs, aNow });
+  if (startedByMs < currentStart) {
     return false;
   }
-  this->endedInstance = aGone.Instance();
-  this->endedBorn = this->current->StartedAtMs();
   TargetHeartbeat::Fields fields = this->current->ToFields();
   fields.state = TargetState::kDraining;
   this->current = TargetHeartbeat(std::move(fields));
   return true;
 }
 
+void
+TargetRegistration::Remember(const std::string& aInstance, const SignOff& aSignOff)
+{
+  const std::map<std::string, SignOff>::iterator entry =
+    this->signOffs.try_emplace(aInstance, aSignOff).first;
+  entry->second = { std::max(entry->second.startedByMs, aSignOff.startedByMs),
+                    aSignOff.receivedAt };
+  if (this->signOffs.size() > kMaxSignOffs) {
+    this->signOffs.erase(
+      std::min_element(this->signOffs.begin(),
+                       this->signOffs.end(),
+                       [](const std::map<std::string, SignOff>::value_type& aLeft,
+                          const std::map<std::string, SignOff>::value_type& aRight) {
+                         return aLeft.second.receivedAt < aRight.second.receivedAt;
+                       }));
+  }
+}
+
 bool
 TargetRegistration::Expire(Time aNow)
 {
--- a/packages/decisions/tests/fake_mesh.cc
+++ b/packages/decisions/tests/fake_mesh.cc
@@ -158,7 +158,7 @@
 {
   Node& node = this->NodeAt(aNode);
   node.state = TargetState::kNone;
-  this->Deliver(aNode, TargetDeregistered({ .instance = "i-" + aNode }));
+  this->Deliver(aNode, TargetDeregistered({ .instance = "i-" + aNode, .startedAtMs = 1 }));
 }
 
 void
--- a/packages/decisions/tests/lapsed_state_test.cc
+++ b/packages/decisions/tests/lapsed_state_test.cc
@@ -57,6 +57,60 @@
             TargetRegistration::Verdict::kChanged);
 }
 
+// Guards against requests at a target that has left: its sign-off arrives before its first report,
+// because the node has just started, and a late report follows.
+TEST(TargetRegistration, LateReportAfterASignOffOfAnUnknownInstanceIsStale)
+{
+  constexpr std::uint64_t kStart = 1000;
+  constexpr std::uint64_t kReceived = 5000;
+  const Time now{ seconds(1) };
+  for (const std::optional<std::uint64_t>& stated :
+       { std::optional<std::uint64_t>(kStart), std::optional<std::uint64_t>() }) {
+    SCOPED_TRACE(stated ? "start stated" : "start not stated");
+    using Verdict = TargetRegistration::Verdict;
+    TargetRegistration registration;
+    EXPECT_FALSE(registration.Receive(
+      TargetDeregistered({ .instance = "i1", .startedAtMs = stated, .receivedAtMs = kReceived }),
+      now));
+    EXPECT_EQ(registration.Receive(MakeHeartbeat(7, kStart), now + seconds(4)), Verdict::kStale);
+    EXPECT_EQ(registration.State(), TargetState::kNone);
+    // The next start of the same instance is used.
+    EXPECT_EQ(registration.Receive(MakeHeartbeat(1, kReceived + 1), now + seconds(5)),
+              Verdict::kChanged);
+  }
+}
+
+// Guards against two sign-offs of which only the last is remembered.
+TEST(TargetRegistration, LateReportsOfSeveralEndedInstancesAreStale)
+{
+  TargetRegistration registration;
+  const Time now{ seconds(1) };
+  for (const std::uint64_t start : { 1000U, 2000U, 3000U }) {
+    registration.Receive(
+      TargetDeregistered({ .instance = "i" + std::to_string(start), .startedAtMs = start }), now);
+  }
+  for (const std::uint64_t start : { 1000U, 2000U, 3000U }) {
+    TargetHeartbeat::Fields late = MakeHeartbeat(7, start).ToFields();
+    late.instance = "i" + std::to_string(start);
+    EXPECT_EQ(registration.Receive(TargetHeartbeat(late), now + seconds(1)),
+              TargetRegistration::Verdict::kStale);
+  }
+}
+
+// Guards against a late sign-off of an earlier start that takes out the running one.
+TEST(TargetRegistration, LateSignOffOfAnEarlierStartKeepsTheCurrentOne)
+{
+  TargetRegistration registration;
+  const Time now{ seconds(1) };
+  registration.Receive(MakeHeartbeat(1, 2000), now);
+  EXPECT_FALSE(
+    registration.Receive(TargetDeregistered({ .instance = "i1", .startedAtMs = 1000 }), now));
+  EXPECT_EQ(registration.State(), TargetState::kReady);
+  EXPECT_TRUE(
+    registration.Receive(TargetDeregistered({ .instance = "i1", .startedAtMs = 2000 }), now));
+  EXPECT_EQ(registration.State(), TargetState::kDraining);
+}
+
 TEST(LocalTarget, RequestThatExpiredWhileSuspendedDoesNotRun)
 {
   LocalTarget target;
--- a/packages/decisions/tests/mesh_core_test.cc
+++ b/packages/decisions/tests/mesh_core_test.cc
@@ -189,6 +189,33 @@
   EXPECT_EQ(mesh.Runs()[0].node, "b1");
 }
 
+// Guards against requests at a target that signed off at a node which had just started and knew
+// nothing of it; a report from before the sign-off arrives late.
+TEST(MeshCore, LateReportAfterASignOffAtARestartedNodeIsIgnored)
+{
+  FakeMesh mesh(1);
+  StartFleet(mesh);
+  mesh.Restart("a1");
+  mesh.RemoveTarget("a1");
+  mesh.Advance(seconds(1));
+  mesh.ConfigureOnly({ "a1" }, MakeConfiguration(1));
+  mesh.Deliver("a1",
+               TargetHeartbeat({ .instance = "i-a1",
+                                 .host = "a1",
+                                 .port = 80,
+                                 .service = "fleet",
+                                 .state = TargetState::kReady,
+                                 .slots = 8,
+                                 .sequence = 1000,
+                                 .startedAtMs = 1 }));
+  mesh.Advance(seconds(1));
+  const std::uint64_t request = mesh.Request("a2", "api", "/fleet/1", "north-key");
+  mesh.Advance(seconds(1));
+  ASSERT_NE(mesh.AnswerTo(request), nullptr);
+  ASSERT_EQ(mesh.Runs().size(), 1U);
+  EXPECT_EQ(mesh.Runs()[0].node, "b1");
+}
+
 TEST(MeshCore, ConfigurationSpreadsWithoutStoreAndNeverRollsBack)
 {
   FakeMesh mesh(1);
--- a/packages/util/clock.h
+++ b/packages/util/clock.h
@@ -52,7 +52,8 @@
   void Advance(Duration aStep);
 };
 
-/// Returns the wall time in microseconds since 1970; only for incarnations and log lines.
+/// Returns the wall time in microseconds since 1970; only for incarnations, log lines and
+/// comparisons with the start times that processes state.
 std::chrono::microseconds WallTime();
 
 } // namespace jackdawwind
