Let a restarted node learn that its target had left

A report from before the departure arrives late; to the new process the target looks ready, and requests run there.

Cause: a departure was kept only in the memory of the process that acknowledged it.

Evidence: MeshCore.TargetThatLeftIsNotUsedAfterItsNodeRestarts (drain, sign-off, two restarts).

Ruled out, by weighing: a record in the platform's store (a write a departure, a read a start, nothing while the store is away), a health check at the start (takes a slot, and health answers may be false), waiting for two reports (1.5 s without the target at each start).

Change: a node sends TargetDeparted to up to four nodes of its own failure domain and two of others; a holder sends it back when it sees a newer process of that node, and again when that process announces a ready target. Up to six datagrams for each departure, nothing otherwise.

Conclusion: fixed for a restart of the node alone. Open: all holders restarting with it, and the milliseconds between the new process's first report and a holder's message.

--- a/packages/decisions/mesh/mesh_core.cc
+++ b/packages/decisions/mesh/mesh_core.cc
@@ -10,6 +10,7 @@
 
 #include "decisions/graceful_shutdown.h"
 #include "decisions/membership/membership.h"
+#include "decisions/mesh/departed_targets.h"
 #include "decisions/mesh/entry_requests.h"
 #include "decisions/mesh/store_readers.h"
 
@@ -158,6 +159,9 @@
     }
     if (this->target.Receive(aEvent, aNow, aEffects)) {
       this->PublishTarget(aNow, aEffects);
+      if (aEvent.State() == TargetState::kDraining && aEvent.StartedAtMs() != 0) {
+        this->ReportDeparture(aEvent.Instance(), aEvent.StartedAtMs(), aEffects);
+      }
     }
   }
   void On(const TargetDeregistered& aEvent, Time aNow, Effects& aEffects)
@@ -165,6 +169,8 @@
     if (this->target.Receive(aEvent, aNow, aEffects)) {
       this->PublishTarget(aNow, aEffects);
     }
+    this->ReportDeparture(
+      aEvent.Instance(), aEvent.StartedAtMs().value_or(aEvent.ReceivedAtMs()), aEffects);
   }
   void On(const ConfigurationRead& aEvent, Time aNow, Effects& aEffects)
   {
@@ -261,6 +267,19 @@
   {
     this->target.Receive(aMessage, aNow);
   }
+  void OnPeer(const TargetDeparted& aMessage, Time aNow, Effects& aEffects)
+  {
+    if (aMessage.Node() != this->options.self.Node()) {
+      this->departed.Receive(aMessage, aNow);
+      return;
+    }
+    const TargetDeregistered gone({ .instance = aMessage.Instance(),
+                                    .startedAtMs = aMessage.StartedByMs(),
+                                    .receivedAtMs = aMessage.StartedByMs() });
+    if (this->target.Receive(gone, aNow, aEffects)) {
+      this->PublishTarget(aNow, aEffects);
+    }
+  }
   /// Messages that only NodeCore handles.
   template<typename Other>
   void OnPeer(const Other& /*aMessage*/, Time /*aNow*/, Effects& /*aEffects*/)
@@ -293,11 +312,25 @@
     this->membership.SetTarget(registration.Service(), registration.State(), aNow, aEffects);
   }
 
+  /// Tells the holders that the local target leaves, for the case that this process restarts.
+  void ReportDeparture(const std::string& aInstance, std::uint64_t aStartedByMs, Effects& aEffects)
+  {
+    const std::string& self = this->options.self.Node();
+    for (const PeerAddress& holder : DepartureHolders(self, this->membership.Members())) {
+      aEffects.push_back(
+        SendPeer({ .to = holder,
+                   .message = TargetDeparted({ .node = self,
+                                               .incarnation = this->options.incarnation,
+                                               .instance = aInstance,
+                                               .startedByMs = aStartedByMs }) }));
+    }
+  }
+
   /// Runs after every event: propagates changes between the modules and does the work that is due.
   void ProcessPendingWork(Time aNow, Effects& aEffects)
   {
     this->membership.Poll(aNow, aEffects);
-    this->ApplyMembership(aNow);
+    this->ApplyMembership(aNow, aEffects);
     if (this->target.Poll(aNow, aEffects)) {
       this->PublishTarget(aNow, aEffects);
     }
@@ -320,7 +353,7 @@
     }
   }
 
-  void ApplyMembership(Time aNow)
+  void ApplyMembership(Time aNow, Effects& aEffects)
   {
     if (this->membership.ChangeCount() == this->appliedChanges) {
       return;
@@ -330,6 +363,9 @@
     this->elected = IsStoreReader(this->options.self.Node(), this->membership.Members());
     this->quota.SetMembers(this->membership.Members(), aNow);
     this->budget.SetNodeCount(this->quota.ExpectedNodes());
+    for (const SendPeer& message : this->departed.TakeDue(this->membership.Members(), aNow)) {
+      aEffects.push_back(message);
+    }
   }
 
   /// Follows the store while this node is a reader of its domain, has no configuration, or misses
@@ -420,6 +456,7 @@
   SplitChooser splits;
   NodePicker picker;
   LocalTarget target;
+  DepartedTargets departed;
   EntryRequests entry;
   GracefulShutdown shutdown;
   /// Time of the next HopDeadlines messages; Time::max() unless the node is shutting down.
--- a/packages/decisions/tests/mesh_core_test.cc
+++ b/packages/decisions/tests/mesh_core_test.cc
@@ -216,6 +216,53 @@
   EXPECT_EQ(mesh.Runs()[0].node, "b1");
 }
 
+// Guards against requests at a target that left before its node restarted: the sign-off was
+// acknowledged by a process that is gone, and a report from before it arrives late.
+TEST(MeshCore, TargetThatLeftIsNotUsedAfterItsNodeRestarts)
+{
+  struct Case
+  {
+    const char* name;
+    bool signsOff;
+    bool isRestartedTwice;
+  };
+  const Case cases[] = { { "drains", false, false },
+                         { "signs off", true, false },
+                         { "two restarts", true, true } };
+  for (const Case& testCase : cases) {
+    SCOPED_TRACE(testCase.name);
+    FakeMesh mesh(1);
+    StartFleet(mesh);
+    if (testCase.signsOff) {
+      mesh.RemoveTarget("a1");
+    } else {
+      mesh.SetState("a1", TargetState::kDraining);
+    }
+    mesh.Advance(milliseconds(300));
+    mesh.Restart("a1");
+    if (testCase.isRestartedTwice) {
+      mesh.Advance(seconds(1));
+      mesh.Restart("a1");
+    }
+    mesh.Advance(milliseconds(500));
+    mesh.Deliver("a1",
+                 TargetHeartbeat({ .instance = "i-a1",
+                                   .host = "a1",
+                                   .port = 80,
+                                   .service = "fleet",
+                                   .state = TargetState::kReady,
+                                   .slots = 8,
+                                   .sequence = 1,
+                                   .startedAtMs = 1 }));
+    mesh.Advance(milliseconds(500));
+    const std::uint64_t request = mesh.Request("a2", "api", "/fleet/1", "north-key");
+    mesh.Advance(seconds(1));
+    ASSERT_NE(mesh.AnswerTo(request), nullptr);
+    ASSERT_EQ(mesh.Runs().size(), 1U);
+    EXPECT_EQ(mesh.Runs()[0].node, "b1");
+  }
+}
+
 TEST(MeshCore, ConfigurationSpreadsWithoutStoreAndNeverRollsBack)
 {
   FakeMesh mesh(1);
