Count all memory of bodies of unknown length

The node grew by up to 185 MB although bodies may take 64 MB of the 160 MB of a small host; the platform ends such a process, and every request there is cut.

Cause: the budget counted the size of a body. A string of unknown length doubles its capacity and copies itself, so that up to three times the size is allocated, and the C library keeps freed blocks of up to 32 MB, since it raises its own threshold for mapped blocks.

Ruled out: header sections, announced lengths and endless interim answers, which were bounded before (the cases pass or add nothing to the peak on the old code).

Evidence: ProcessMemoryTest starts the program on 160 MB and reads the peak of its resident memory. Growth before: 133 MB for one body in chunks, 185 MB with one until the end of the connection, 134 MB for eight callers, where 92 MB are allowed (64 MiB and 24 MiB for the rest). With the counted growth alone, 109 MB: the kept blocks.

Change: a body of unknown length grows by a quarter at a time, and its memory and that of the copy are reserved before they are allocated; the program has large blocks returned to the system at once.

A body of unknown length may take four ninths of the budget, 28 MB on the smallest host, instead of all of it at the risk of the process. Left alone: endless bytes from the store have no test; the store client reads by the same class.

--- a/packages/node/body_budget.h
+++ b/packages/node/body_budget.h
@@ -80,6 +80,15 @@
     return true;
   }
 
+  /// Returns the bytes above aBytes to the budget.
+  void ShrinkTo(std::uint64_t aBytes)
+  {
+    if (aBytes < this->reservedBytes) {
+      this->budget->Release(this->reservedBytes - aBytes);
+      this->reservedBytes = aBytes;
+    }
+  }
+
   void Release() { this->budget->Release(std::exchange(this->reservedBytes, 0)); }
 
 private:
--- a/packages/node/main.cc
+++ b/packages/node/main.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <cxxopts.hpp>
+#include <malloc.h>
 
 #include "node/log_writer.h"
 #include "node/net.h"
@@ -24,6 +25,22 @@
 /// Delay before a drain request is retried when the event ring is full.
 constexpr Duration kDrainRetryDelay = std::chrono::milliseconds(20);
 
+/// Blocks of this size and above are mapped on their own and returned to the system when freed. By
+/// default the C library raises this threshold with the blocks that it sees; a body that grows
+/// would then leave all its earlier blocks in the process.
+constexpr int kMappedBlockBytes = 1 << 20;
+/// Free memory that may stay at the end of the heap, so that small bodies don't cost system calls.
+constexpr int kKeptHeapBytes = 8 << 20;
+
+/// Makes the C library return the memory of large bodies to the system. Errors are ignored: the
+/// default only keeps more memory.
+void
+ConfigureAllocator()
+{
+  static_cast<void>(mallopt(M_MMAP_THRESHOLD, kMappedBlockBytes));
+  static_cast<void>(mallopt(M_TRIM_THRESHOLD, kKeptHeapBytes));
+}
+
 /// Waits for signals on the main thread; the first SIGTERM or SIGINT requests a drain.
 class SignalWatch
 {
@@ -79,6 +96,7 @@
 int
 Main(int aCount, char** aArguments)
 {
+  ConfigureAllocator();
   cxxopts::Options options("jackdawwind", "Overload control node");
   options.add_options()(
     "settings", "YAML file with the node's settings", cxxopts::value<std::string>())(
--- a/packages/node/outgoing_exchange.cc
+++ b/packages/node/outgoing_exchange.cc
@@ -1,6 +1,5 @@
 #include "node/outgoing_exchange.h"
 
-#include <algorithm>
 #include <cstddef>
 #include <utility>
 
@@ -8,6 +7,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "node/body_growth.h"
+
 namespace jackdawwind::node {
 
 namespace {
@@ -207,11 +208,12 @@
   if (!this->parser->is_header_done()) {
     return true;
   }
-  std::uint64_t size = this->parser->get().body().size();
+  std::optional<std::uint64_t> length;
   if (this->parser->content_length() && this->message.method() != http::verb::head) {
-    size = std::max<std::uint64_t>(size, *this->parser->content_length());
+    length = *this->parser->content_length();
   }
-  return this->reservation.TryGrowTo(size);
+  const std::size_t more = this->parser->is_done() ? 0 : this->buffer.max_size();
+  return ReserveBodyMemory(this->parser->get().body(), length, more, this->reservation);
 }
 
 void
--- a/packages/node/server_connection.cc
+++ b/packages/node/server_connection.cc
@@ -11,6 +11,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "node/body_growth.h"
+
 namespace jackdawwind::node {
 
 namespace {
@@ -180,11 +182,12 @@
 bool
 ServerConnection::ReserveBody()
 {
-  std::uint64_t size = this->parser->get().body().size();
+  std::optional<std::uint64_t> length;
   if (this->parser->content_length()) {
-    size = std::max<std::uint64_t>(size, *this->parser->content_length());
+    length = *this->parser->content_length();
   }
-  return this->reservation.TryGrowTo(size);
+  const std::size_t more = this->parser->is_done() ? 0 : this->buffer.max_size();
+  return ReserveBodyMemory(this->parser->get().body(), length, more, this->reservation);
 }
 
 void
--- a/tests/process/child_process.cc
+++ b/tests/process/child_process.cc
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <fstream>
 #include <sstream>
 
 #include <fcntl.h>
@@ -121,6 +122,21 @@
   kill(this->pid, aSignal);
 }
 
+std::uint64_t
+ChildProcess::PeakMemoryBytes() const
+{
+  constexpr std::uint64_t kBytesPerKilobyte = 1024;
+  std::ifstream file("/proc/" + std::to_string(this->pid) + "/status");
+  std::string name;
+  std::uint64_t kilobytes = 0;
+  while (file >> name) {
+    if (name == "VmHWM:" && file >> kilobytes) {
+      return kilobytes * kBytesPerKilobyte;
+    }
+  }
+  return 0;
+}
+
 int
 ChildProcess::Wait()
 {
--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -39,6 +39,8 @@
   int Wait();
   /// Whether the process has ended; does not wait.
   bool Ended();
+  /// Largest resident memory that the process has had; 0 if it has ended.
+  std::uint64_t PeakMemoryBytes() const;
 
 private:
   std::string ReadLine() const;
