--- a/packages/node/tests/outgoing_exchange_test.cc
+++ b/packages/node/tests/outgoing_exchange_test.cc
@@ -5,7 +5,6 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <thread>
 #include <variant>
 
 #include <gtest/gtest.h>
@@ -17,7 +16,7 @@
 
 using std::chrono::milliseconds;
 
-/// Time limit of the exchanges; short, since the tests wait until it has passed.
+/// Time limit of the exchanges.
 constexpr Duration kTimeout = milliseconds(20);
 
 class OutgoingExchangeTest : public testing::Test
@@ -35,12 +34,13 @@
         .body = std::make_shared<const std::string>("booking"),
         .timeout = kTimeout,
         .silenceLimit = std::nullopt },
-      [this](OutgoingResult aResult) { this->result = std::move(aResult); });
+      [this](OutgoingResult aResult) { this->result.emplace(std::move(aResult)); });
   }
 
   /// Runs the first handler of the exchange, which begins to connect.
   void BeginToConnect() { this->io.run_one(); }
 
+  ManualClock clock{ Time(std::chrono::hours(1)) };
   asio::io_context io;
   ConnectionPool pool;
   BodyBudget budget{ 1U << 20U };
@@ -61,7 +61,7 @@
   this->Start();
   this->BeginToConnect();
   FakeConnection connection = this->server.Accept();
-  std::this_thread::sleep_for(2 * kTimeout);
+  this->clock.Advance(2 * kTimeout);
   // The connection is open and the time limit has passed, so that both handlers are ready.
   this->io.run();
   ASSERT_TRUE(this->result);
@@ -73,7 +73,7 @@
 TEST_F(OutgoingExchangeTest, SendsNothingIfItsTimePassedBeforeItBegan)
 {
   this->Start();
-  std::this_thread::sleep_for(2 * kTimeout);
+  this->clock.Advance(2 * kTimeout);
   this->io.run();
   ASSERT_TRUE(this->result);
   EXPECT_TRUE(std::holds_alternative<NothingSent>(*this->result));
@@ -86,6 +86,9 @@
   this->Start();
   this->BeginToConnect();
   FakeConnection connection = this->server.Accept();
+  // The connection is open, so that the next handler writes the request.
+  this->io.run_one();
+  this->clock.Advance(2 * kTimeout);
   this->io.run();
   ASSERT_TRUE(this->result);
   EXPECT_TRUE(std::holds_alternative<DeadlineExceeded>(*this->result));
