--- a/tests/process/child_process.cc
+++ b/tests/process/child_process.cc
@@ -24,8 +24,10 @@
   int output = -1;
 };
 
+/// Starts the program after aActions, with the standard descriptors only: a child that inherits the
+/// test's connections keeps them open after the test has closed them.
 pid_t
-SpawnWith(const posix_spawn_file_actions_t& aActions,
+SpawnWith(posix_spawn_file_actions_t& aActions,
           const std::string& aProgram,
           const std::vector<std::string>& aArguments)
 {
@@ -38,6 +40,7 @@
     pointers.push_back(argument.data());
   }
   pointers.push_back(nullptr);
+  posix_spawn_file_actions_addclosefrom_np(&aActions, STDERR_FILENO + 1);
   pid_t pid = 0;
   if (posix_spawn(&pid, path.c_str(), &aActions, nullptr, pointers.data(), environ) != 0) {
     std::perror(path.c_str());
@@ -57,8 +60,6 @@
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_adddup2(&actions, pipeEnds[1], STDOUT_FILENO);
-  posix_spawn_file_actions_addclose(&actions, pipeEnds[0]);
-  posix_spawn_file_actions_addclose(&actions, pipeEnds[1]);
   const pid_t pid = SpawnWith(actions, aProgram, aArguments);
   posix_spawn_file_actions_destroy(&actions);
   close(pipeEnds[1]);
