Wait until the drain timeout for answers that are being written

Cause: the decisions count a request as ended when its answer is handed to the I/O thread, so that the drain ends, and MeshIo::Stop waited only 200 ms for writes.

Ruled out: the time limit for a write (30 s), and the forced exit, which comes at 5.4 s.

Change: Stop takes the time until which it waits; after a drain that is the end of the drain timeout, at least 200 ms from then.

NodeCore's interface waits up to five seconds after its drain and is left as it is.

--- a/packages/node/mesh_io.cc
+++ b/packages/node/mesh_io.cc
@@ -75,7 +75,7 @@
 
 MeshIo::~MeshIo()
 {
-  this->Stop();
+  this->Stop(Clock::now());
 }
 
 std::optional<ListenError>
@@ -127,18 +127,18 @@
 }
 
 void
-MeshIo::Stop()
+MeshIo::Stop(Time aFlushBy)
 {
   if (!this->thread.joinable()) {
     return;
   }
   this->effects.Close();
-  asio::post(this->io, [this] {
+  asio::post(this->io, [this, aFlushBy] {
     this->ApplyEffects();
     for (const std::unique_ptr<Listener>& listener : this->listeners) {
       listener->Stop();
     }
-    this->connections.FlushAndStop(Clock::now() + kFlushTimeout);
+    this->connections.FlushAndStop(aFlushBy);
   });
   this->thread.join();
 }
--- a/packages/node/mesh_io.h
+++ b/packages/node/mesh_io.h
@@ -6,7 +6,7 @@
 //   MeshIo& io = *std::get<std::unique_ptr<MeshIo>>(opened);
 //   io.Start();
 //   io.Submit(effect);          // from the decision thread
-//   io.Stop();
+//   io.Stop(exitTime);
 //
 // Requests and answers are buffered whole within one memory budget, so that a truncated answer is
 // never relayed as a complete one. Events go to the ring of the decision thread: when it is full,
@@ -79,15 +79,14 @@
   void Start();
   /// Queues an effect; blocks while the ring is full.
   void Submit(MeshEffect aEffect);
-  /// Executes the submitted effects, waits up to kFlushTimeout for answers that are being written,
-  /// and joins the thread.
-  void Stop();
+  /// Executes the submitted effects, waits until aFlushBy at the latest for answers that are being
+  /// written, and joins the thread. A caller may read a long answer slowly.
+  void Stop(Time aFlushBy);
 
 private:
   static constexpr std::size_t kEffectRingCapacity = 4096;
   static constexpr std::size_t kMaxConnections = 2048;
   static constexpr std::size_t kMaxExchanges = 4096;
-  static constexpr Duration kFlushTimeout = std::chrono::milliseconds(200);
 
   struct Attempt
   {
--- a/packages/node/mesh_process.cc
+++ b/packages/node/mesh_process.cc
@@ -1,5 +1,6 @@
 #include "node/mesh_process.h"
 
+#include <algorithm>
 #include <random>
 #include <string>
 #include <utility>
@@ -147,6 +148,16 @@
   return routes;
 }
 
+bool
+MeshProcess::RequestDrain()
+{
+  if (!this->Submit(DrainRequested())) {
+    return false;
+  }
+  this->drainEnd = Clock::now() + this->settings.DrainTimeout();
+  return true;
+}
+
 void
 MeshProcess::Stop()
 {
@@ -154,7 +165,7 @@
     this->loop->Stop();
   }
   if (this->mesh) {
-    this->mesh->Stop();
+    this->mesh->Stop(std::max(this->drainEnd, Clock::now() + kMinFlushTime));
   }
   if (this->peers) {
     this->peers->Stop();
--- a/packages/node/mesh_process.h
+++ b/packages/node/mesh_process.h
@@ -49,10 +49,12 @@
   void Start(Handlers aHandlers);
   /// Queues an event for the decision thread; false when the ring is full.
   bool Submit(Event aEvent) { return this->events.TryPush(std::move(aEvent)); }
-  /// Requests a drain; false when the event ring is full, so that the caller has to retry.
-  bool RequestDrain() { return this->Submit(DrainRequested()); }
+  /// Requests a drain; false when the event ring is full, so that the caller has to retry. Called
+  /// by the thread that calls Stop.
+  bool RequestDrain();
   void Report(ReportItem aItem) { this->reporting->Submit(std::move(aItem)); }
-  /// Stops all threads: the decision thread first, the reporting thread last.
+  /// Stops all threads: the decision thread first, the reporting thread last. After a drain, waits
+  /// until the drain timeout at the latest for answers that are being written.
   void Stop();
 
   /// Addresses, failure domain, region and incarnation that this node announces to other nodes.
@@ -61,6 +63,8 @@
 private:
   /// Capacity in events; larger than the limit of requests in progress.
   static constexpr std::size_t kEventRingCapacity = 16384;
+  /// Time for writing the answers of a forced exit, which come at the drain timeout.
+  static constexpr Duration kMinFlushTime = std::chrono::milliseconds(200);
 
   EffectRoutes Routes(Handlers aHandlers);
 
@@ -68,6 +72,8 @@
   MeshFrontEnd frontEnd;
   NodeSettings controlSettings;
   std::uint64_t incarnation = 0;
+  /// End of the drain timeout once a drain is requested.
+  Time drainEnd{};
   Ring<Event> events;
   std::unique_ptr<Reporting> reporting;
   std::unique_ptr<MeshIo> mesh;
--- a/packages/node/tests/fake_endpoints.h
+++ b/packages/node/tests/fake_endpoints.h
@@ -24,6 +24,20 @@
 
 namespace jackdawwind::node {
 
+/// Connects to a server. A receive buffer of a few kilobytes makes the other end wait with a long
+/// answer until it is read; by default the system buffers megabytes.
+inline Tcp::socket
+ConnectTo(asio::io_context& aIo, const Tcp::endpoint& aServer, std::optional<int> aBufferBytes)
+{
+  Tcp::socket socket(aIo);
+  socket.open(aServer.protocol());
+  if (aBufferBytes) {
+    socket.set_option(asio::socket_base::receive_buffer_size(*aBufferBytes));
+  }
+  socket.connect(aServer);
+  return socket;
+}
+
 /// Blocking connection that a test reads and writes.
 class FakeConnection
 {
@@ -135,11 +149,10 @@
   {
   }
 
-  FakeConnection Connect(std::uint16_t aPort)
+  FakeConnection Connect(std::uint16_t aPort, std::optional<int> aReceiveBufferBytes = {})
   {
-    Tcp::socket socket(this->io);
-    socket.connect(Tcp::endpoint(asio::ip::address_v4::loopback(), aPort));
-    return FakeConnection(std::move(socket));
+    return FakeConnection(ConnectTo(
+      this->io, Tcp::endpoint(asio::ip::address_v4::loopback(), aPort), aReceiveBufferBytes));
   }
 
   /// Waits for the next event; fails the test when there is none or it has another type.
