Forward TRACE requests with a body instead of ending the node

Cause: OutgoingExchange set the body's length by prepare_payload(), which throws std::invalid_argument for TRACE with a body, and nothing catches an exception on the I/O thread.

Ruled out: the parser of requests, which accepts the method; responses, whose parser reads no body where prepare_payload() would throw (204, 304).

Change: the length is set without a check of the method, as prepare_payload() does for all others.

--- a/packages/node/outgoing_exchange.cc
+++ b/packages/node/outgoing_exchange.cc
@@ -16,6 +16,14 @@
 /// Buffer space for body bytes that arrive together with the header section.
 constexpr std::size_t kReadAheadBytes = 65536;
 
+/// Whether a request with this method states its length even if it has no body (RFC 9110, 8.6).
+bool
+StatesEmptyLength(http::verb aMethod)
+{
+  return aMethod == http::verb::options || aMethod == http::verb::put ||
+         aMethod == http::verb::post;
+}
+
 } // namespace
 
 std::shared_ptr<OutgoingExchange>
@@ -42,7 +50,12 @@
 {
   const std::string& body = *this->request.body;
   this->message.body() = Body::value_type(body.data(), body.size());
-  this->message.prepare_payload();
+  // Not prepare_payload(), which throws for a body that the method should not have (TRACE).
+  if (!body.empty() || StatesEmptyLength(this->message.method())) {
+    this->message.content_length(body.size());
+  } else {
+    this->message.chunked(false);
+  }
   this->message.keep_alive(true);
 }
 
