Keep an exception on an I/O thread from ending the process

Cause: no thread caught exceptions.

Change: the I/O threads run their event loops under a guard, which logs the exception (110 handler_failed) and counts it. A request whose handler throws is refused as not run and its connection closed; a send that throws counts as not sent, an answer that can't be read as lost, and in place of one that can't be written the caller gets 502.

Ruled out: the same on the decision thread. Its state could be wrong after an exception, and a wrong "not run" is worse than a process that ends.

No input is known that still throws.

--- a/packages/node/entry_exchanges.cc
+++ b/packages/node/entry_exchanges.cc
@@ -5,6 +5,7 @@
 
 #include <boost/asio/ip/address.hpp>
 
+#include "node/handler_guard.h"
 #include "node/http_headers.h"
 #include "node/peer_exchange.h"
 
@@ -123,7 +124,10 @@
     Attempt& attempt;
     const std::string& peer;
   };
-  const AttemptOutcome outcome = std::visit(Visitor{ *this, attempt, aPeer }, aResult);
+  AttemptOutcome outcome = Lost();
+  RunGuarded(this->context.report, "proxy_io", [&] {
+    outcome = std::visit(Visitor{ *this, attempt, aPeer }, aResult);
+  });
   this->DeliverEnd(aExchange, aAttempt, outcome);
   this->EraseWhenIdle(found);
 }
--- a/packages/node/mesh_io.cc
+++ b/packages/node/mesh_io.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
 
+#include "node/handler_guard.h"
 #include "node/peer_exchange.h"
 #include "wire/codec.h"
 #include "wire/generated/mesh_codec.h"
@@ -14,6 +15,7 @@
 
 namespace {
 
+constexpr const char* kThreadName = "mesh_io";
 constexpr const char* kHopHeader = "X-Jackdaw-Hop";
 
 std::optional<Tcp::endpoint>
@@ -117,7 +119,7 @@
     ++index;
   }
   this->connections.StartSweeping();
-  this->thread = std::thread([this] { this->io.run(); });
+  this->thread = std::thread([this] { RunEventLoop(this->io, this->report, kThreadName); });
 }
 
 void
@@ -345,10 +347,55 @@
 MeshIo::ApplyEffects()
 {
   for (const MeshEffect& effect : this->effects.PopReady()) {
-    std::visit([this](const auto& aEffect) { this->Apply(aEffect); }, effect);
+    const bool applied = RunGuarded(this->report, kThreadName, [this, &effect] {
+      std::visit([this](const auto& aEffect) { this->Apply(aEffect); }, effect);
+    });
+    if (!applied) {
+      RunGuarded(this->report, kThreadName, [this, &effect] {
+        std::visit([this](const auto& aEffect) { this->Recover(aEffect); }, effect);
+      });
+    }
   }
 }
 
+void
+MeshIo::Recover(const ForwardHop& aEffect)
+{
+  this->DeliverSendEnded(aEffect.Exchange(), aEffect.Attempt(), ConnectFailed());
+}
+
+void
+MeshIo::Recover(const CallTarget& aEffect)
+{
+  this->DeliverSendEnded(aEffect.Exchange(), aEffect.Attempt(), ConnectFailed());
+}
+
+void
+MeshIo::Recover(const RelayReply& aEffect)
+{
+  this->AnswerUnknown(aEffect.Exchange());
+}
+
+void
+MeshIo::Recover(const RejectRequest& aEffect)
+{
+  this->AnswerUnknown(aEffect.Exchange());
+}
+
+void
+MeshIo::AnswerUnknown(std::uint64_t aExchange)
+{
+  const Exchanges::iterator found = this->exchanges.find(aExchange);
+  if (found == this->exchanges.end()) {
+    return;
+  }
+  if (found->second.connection) {
+    found->second.connection->Respond(
+      EmptyResponse(http::status::bad_gateway), BodyReservation(this->budget), AfterAnswer::kClose);
+  }
+  this->Erase(found);
+}
+
 void
 MeshIo::Apply(const ForwardHop& aEffect)
 {
@@ -436,7 +483,11 @@
   };
   Attempt& attempt = found->second.attempts[aAttempt];
   attempt.running.reset();
-  this->DeliverSendEnded(aExchange, aAttempt, std::visit(Visitor{ *this, attempt, aHop }, aResult));
+  SendOutcome outcome = Lost();
+  RunGuarded(this->report, kThreadName, [&] {
+    outcome = std::visit(Visitor{ *this, attempt, aHop }, aResult);
+  });
+  this->DeliverSendEnded(aExchange, aAttempt, outcome);
 }
 
 SendOutcome
--- a/packages/node/mesh_io.h
+++ b/packages/node/mesh_io.h
@@ -146,6 +146,18 @@
   void Apply(const ForgetExchange& aEffect);
   void Apply(const ForgetPeer& aEffect);
   void Apply(const PhaseChanged& aEffect);
+  /// Ends what an effect was for after it has thrown: nothing was sent, or no answer could be
+  /// written.
+  void Recover(const ForwardHop& aEffect);
+  void Recover(const CallTarget& aEffect);
+  void Recover(const RelayReply& aEffect);
+  void Recover(const RejectRequest& aEffect);
+  template<typename Other>
+  void Recover(const Other& /*aEffect*/)
+  {
+  }
+  /// Answers 502, which promises nothing, and forgets the exchange.
+  void AnswerUnknown(std::uint64_t aExchange);
 
   void Send(std::uint64_t aExchange, std::uint32_t aAttempt, OutgoingRequest aRequest);
   void OnSendEnded(std::uint64_t aExchange,
--- a/packages/node/peer_control.cc
+++ b/packages/node/peer_control.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 
 #include "node/control_frame.h"
+#include "node/handler_guard.h"
 #include "node/http_headers.h"
 #include "node/rpc_request.h"
 #include "wire/codec.h"
@@ -16,6 +17,7 @@
 
 namespace {
 
+constexpr const char* kThreadName = "peer_control";
 constexpr const char* kPlainPath = "/control";
 constexpr const char* kFramePath = "/frames";
 
@@ -80,7 +82,7 @@
   , messages(kMessageRingCapacity, [this] {
     asio::post(this->io, [this] {
       for (const Outgoing& message : this->messages.PopReady()) {
-        this->Enqueue(message);
+        RunGuarded(this->report, kThreadName, [this, &message] { this->Enqueue(message); });
       }
     });
   })
@@ -102,7 +104,7 @@
     });
   }
   this->connections.StartSweeping();
-  this->thread = std::thread([this] { this->io.run(); });
+  this->thread = std::thread([this] { RunEventLoop(this->io, this->report, kThreadName); });
 }
 
 void
@@ -131,7 +133,8 @@
   }
   ServerConnection::Handlers handlers;
   handlers.disconnected = [](std::uint64_t) {};
-  handlers.reject = [](const Rejection& aRejection) {
+  handlers.reject = [this](const Rejection& aRejection) {
+    this->report(ItemDropped{ "peer_invalid" });
     return RefusalResponse(aRejection.code, RunState::kNotRun);
   };
   handlers.request = [this](const ServerConnection::Pointer& aConnection,
--- a/packages/node/proxy_io.cc
+++ b/packages/node/proxy_io.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
 
+#include "node/handler_guard.h"
 #include "wire/codec.h"
 #include "wire/generated/calls_codec.h"
 
@@ -16,6 +17,7 @@
 
 namespace {
 
+constexpr const char* kThreadName = "proxy_io";
 constexpr const char* kAnnouncePath = "/target";
 
 HttpResponse
@@ -101,7 +103,7 @@
     [this](Tcp::socket aSocket) { this->AcceptCaller(std::move(aSocket), ListenerKind::kTarget); });
   this->peers->Start([this](Tcp::socket aSocket) { this->AcceptPeer(std::move(aSocket)); });
   this->connections.StartSweeping();
-  this->thread = std::thread([this] { this->io.run(); });
+  this->thread = std::thread([this] { RunEventLoop(this->io, this->report, kThreadName); });
 }
 
 bool
@@ -258,10 +260,49 @@
 
       ProxyIo& self;
     };
-    std::visit(Visitor{ *this }, effect);
+    const bool applied = RunGuarded(
+      this->report, kThreadName, [this, &effect] { std::visit(Visitor{ *this }, effect); });
+    if (!applied) {
+      RunGuarded(this->report, kThreadName, [this, &effect] {
+        std::visit([this](const auto& aEffect) { this->Recover(aEffect); }, effect);
+      });
+    }
   }
 }
 
+void
+ProxyIo::Recover(const Forward& aEffect)
+{
+  this->events.Deliver(AttemptEnded({ .exchange = aEffect.Exchange(),
+                                      .attempt = aEffect.Context().Attempt(),
+                                      .outcome = ConnectFailed() }));
+}
+
+void
+ProxyIo::Recover(const Dispatch& aEffect)
+{
+  this->events.Deliver(TargetEnded({ .exchange = aEffect.Exchange(), .outcome = ConnectFailed() }));
+}
+
+void
+ProxyIo::Recover(const Relay& aEffect)
+{
+  this->RefuseUnknown(aEffect.Exchange());
+}
+
+void
+ProxyIo::Recover(const Complete& aEffect)
+{
+  this->RefuseUnknown(aEffect.Exchange());
+}
+
+void
+ProxyIo::RefuseUnknown(std::uint64_t aExchange)
+{
+  this->Apply(Refuse(
+    { .exchange = aExchange, .code = ResultCode::kTargetFailed, .run = RunState::kUnknown }));
+}
+
 void
 ProxyIo::Apply(const Refuse& aEffect)
 {
--- a/packages/node/proxy_io.h
+++ b/packages/node/proxy_io.h
@@ -96,6 +96,18 @@
   void ApplyEffects();
   void Apply(const Refuse& aEffect);
   void Apply(const PhaseChanged& aEffect);
+  /// Ends what an effect was for after it has thrown: nothing was sent, or no answer could be
+  /// written.
+  void Recover(const Forward& aEffect);
+  void Recover(const Dispatch& aEffect);
+  void Recover(const Relay& aEffect);
+  void Recover(const Complete& aEffect);
+  template<typename Other>
+  void Recover(const Other& /*aEffect*/)
+  {
+  }
+  /// Answers that the request may have run.
+  void RefuseUnknown(std::uint64_t aExchange);
 
   const NodeSettings& settings;
   ReportSink report;
--- a/packages/node/reporting.cc
+++ b/packages/node/reporting.cc
@@ -6,6 +6,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include "node/handler_guard.h"
 #include "node/http_headers.h"
 #include "values/text.h"
 #include "wire/codec.h"
@@ -63,7 +64,10 @@
 Reporting::Start()
 {
   this->listener->Start([this](Tcp::socket aSocket) { this->Accept(std::move(aSocket)); });
-  this->thread = std::thread([this] { this->io.run(); });
+  this->thread = std::thread([this] {
+    RunEventLoop(
+      this->io, [this](ReportItem aItem) { this->Submit(std::move(aItem)); }, "reporting");
+  });
 }
 
 void
--- a/packages/node/server_connection.cc
+++ b/packages/node/server_connection.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <exception>
 #include <string_view>
 #include <utility>
 
@@ -175,8 +176,21 @@
   }
   this->requestComplete = true;
   this->timer.Disarm();
-  this->handlers.request(
-    this->shared_from_this(), this->parser->release(), std::move(this->reservation));
+  this->HandleRequest();
+}
+
+void
+ServerConnection::HandleRequest()
+{
+  try {
+    this->handlers.request(
+      this->shared_from_this(), this->parser->release(), std::move(this->reservation));
+  } catch (const std::exception&) {
+    // The handler has not taken the request, so that it cannot run. The event loop reports the
+    // exception.
+    this->Reject(ResultCode::kNodeBusy, "the request caused an exception");
+    throw;
+  }
 }
 
 bool
--- a/packages/node/server_connection.h
+++ b/packages/node/server_connection.h
@@ -43,7 +43,8 @@
 
   struct Handlers
   {
-    /// Handles a complete request.
+    /// Handles a complete request. If it throws, the request is refused as not run and the
+    /// exception goes on to the event loop.
     std::function<void(const Pointer&, HttpRequest, BodyReservation)> request;
     /// Called when the client disconnects before the answer to the exchange passed to AwaitAnswer.
     std::function<void(std::uint64_t)> disconnected;
@@ -104,6 +105,8 @@
   void ReadBody();
   void OnBody(const ErrorCode& aError);
   bool ReserveBody();
+  /// Passes the request on, and rejects it if the handler throws.
+  void HandleRequest();
   void Reject(ResultCode aCode, const std::string& aReason);
   void RejectError(const ErrorCode& aError);
   void WatchForDisconnect();
