Let connected nodes stand in for store readers that are cut off

Cause: two nodes of each failure domain, chosen by id alone, read the platform's store for the others.

Ruled out: short long polls (a call a second and reader), keepalive of the open poll (2 to 3 s until the cut shows, while a change has to be in force within 2 s), contacts by the fleet's probes (several seconds).

Change: a reader verifies twice a second that the store accepts connections and tells its domain with StoreContact. Nodes that have received none for 1.1 s stand in, by stages of 4, 8, 16, ... in the order of their ranks. Log events 408 and 409, gauge store_reader. Decisions can now update metrics (MetricUpdated), and all log events are counted.

--- a/packages/decisions/mesh/mesh_core.cc
+++ b/packages/decisions/mesh/mesh_core.cc
@@ -57,6 +57,7 @@
                  DeriveSeed(this->options.seed, RandomStream::kMembership))
     , configuration(this->options.self,
                     DeriveSeed(this->options.seed, RandomStream::kConfiguration))
+    , storeReaders(this->options.self.Node())
     , quota(this->options.self)
     , budget({ .fleetRatio = this->options.repeatRatio, .fleetExtra = this->options.repeatExtra })
     , splits(DeriveSeed(this->options.seed, RandomStream::kSplits))
@@ -100,6 +101,7 @@
                       this->quota.NextWake(),
                       this->target.NextWake(),
                       this->shutdown.NextWake(),
+                      this->storeReaders.NextWake(),
                       this->nextHopDeadlines,
                       servingAt });
   }
@@ -187,6 +189,13 @@
     this->quota.SetMembers(this->membership.Members(), aNow);
     this->budget.SetNodeCount(this->quota.ExpectedNodes());
   }
+  void On(const StoreReached& /*aEvent*/, Time /*aNow*/, Effects& aEffects)
+  {
+    for (SendPeer& message :
+         this->storeReaders.Announce(this->options.self, this->configuration.Version())) {
+      aEffects.push_back(std::move(message));
+    }
+  }
   void On(const PeerReceived& aEvent, Time aNow, Effects& aEffects)
   {
     std::visit(
@@ -244,6 +253,11 @@
   {
     this->configuration.NoteVersion(aMessage.Sender(), aMessage.Version(), aNow, aEffects);
   }
+  void OnPeer(const StoreContact& aMessage, Time aNow, Effects& aEffects)
+  {
+    this->storeReaders.Receive(aMessage, aNow);
+    this->configuration.NoteVersion(aMessage.Sender(), aMessage.Version(), aNow, aEffects);
+  }
   void OnPeer(const MeshConfigWant& aMessage, Time /*aNow*/, Effects& aEffects)
   {
     this->configuration.Receive(aMessage, aEffects);
@@ -360,7 +374,7 @@
     }
     this->appliedChanges = this->membership.ChangeCount();
     this->picker.SetMembers(this->membership.Members());
-    this->elected = IsStoreReader(this->options.self.Node(), this->membership.Members());
+    this->storeReaders.SetMembers(this->membership.Members());
     this->quota.SetMembers(this->membership.Members(), aNow);
     this->budget.SetNodeCount(this->quota.ExpectedNodes());
     for (const SendPeer& message : this->departed.TakeDue(this->membership.Members(), aNow)) {
@@ -368,16 +382,25 @@
     }
   }
 
-  /// Follows the store while this node is a reader of its domain, has no configuration, or misses
-  /// one that its peers have.
+  /// Follows the store while this node reads it for its domain, has no configuration, or misses one
+  /// that its peers have.
   void UpdateStoreReader(Time aNow, Effects& aEffects)
   {
-    const bool wanted = this->elected || this->configuration.Table() == nullptr ||
+    const bool reader = this->storeReaders.ShouldFollow(aNow);
+    const bool wanted = reader || this->configuration.Table() == nullptr ||
                         this->configuration.IsBehind(aNow) || this->quota.IsIsolated(aNow);
-    if (wanted != this->followsStore) {
-      this->followsStore = wanted;
-      aEffects.push_back(FollowStore({ .active = wanted }));
+    if (wanted == this->followsStore) {
+      return;
     }
+    this->followsStore = wanted;
+    aEffects.push_back(FollowStore({ .active = wanted }));
+    aEffects.push_back(
+      MetricUpdated({ .metric = Metric::kStoreReader, .value = wanted ? 1.0 : 0.0 }));
+    AddLogLine(aEffects,
+               wanted ? LogEvent::kStoreReaderStarted : LogEvent::kStoreReaderStopped,
+               "rank=" + std::to_string(this->storeReaders.Rank()) +
+                 " for_domain=" + (reader ? "yes" : "no") +
+                 " version=" + std::to_string(this->configuration.Version()));
   }
 
   /// Tells other nodes the deadlines that a shutdown has moved, again and again since the messages
@@ -451,6 +474,7 @@
   Options options;
   Membership membership;
   ConfigurationGossip configuration;
+  StoreReaders storeReaders;
   QuotaPool quota;
   RepeatBudget budget;
   SplitChooser splits;
@@ -464,8 +488,6 @@
   Phase phase = Phase::kBooting;
   Time startedAt{};
   std::uint64_t appliedChanges = 0;
-  /// Whether this node is one of the store's readers in its domain.
-  bool elected = true;
   bool followsStore = true;
 };
 
--- a/packages/node/decision_loop.h
+++ b/packages/node/decision_loop.h
@@ -71,6 +71,7 @@
   void operator()(const StopFollowing& aEffect) const { this->routes.stopFollowing(aEffect); }
   void operator()(const LogLine& aEffect) const { this->routes.report(aEffect); }
   void operator()(const CallMeasured& aEffect) const { this->routes.report(aEffect); }
+  void operator()(const MetricUpdated& aEffect) const { this->routes.report(aEffect); }
   void operator()(const StatusReady& aEffect) const { this->routes.report(aEffect); }
   void operator()(const PhaseChanged& aEffect) const
   {
--- a/packages/node/metrics.cc
+++ b/packages/node/metrics.cc
@@ -33,6 +33,13 @@
   return out;
 }
 
+/// Counters are told from gauges by their names, as Prometheus recommends.
+bool
+IsCounter(Metric aMetric)
+{
+  return ToText(aMetric).ends_with("_total");
+}
+
 } // namespace
 
 void
@@ -69,6 +76,23 @@
   total.second += aTraffic.bytes;
 }
 
+void
+Metrics::Count(LogEvent aEvent)
+{
+  ++this->logEvents[aEvent];
+}
+
+void
+Metrics::Update(const MetricUpdated& aUpdate)
+{
+  std::map<std::string, double>& values = this->decisions[aUpdate.GetMetric()];
+  if (values.size() >= kMaxLabels && !values.contains(aUpdate.Label())) {
+    return;
+  }
+  double& value = values[aUpdate.Label()];
+  value = IsCounter(aUpdate.GetMetric()) ? value + aUpdate.Value() : aUpdate.Value();
+}
+
 std::string
 Metrics::OrganisationLabel(const std::string& aOrganisation)
 {
@@ -146,7 +170,29 @@
     out << "jackdawwind_control_bytes_total{kind=\"" << key.first << "\",distance=\"" << key.second
         << "\"} " << total.second << "\n";
   }
+  out << "# TYPE jackdawwind_log_events_total counter\n";
+  for (const auto& [event, count] : this->logEvents) {
+    out << "jackdawwind_log_events_total{number=\"" << static_cast<unsigned>(event) << "\",name=\""
+        << ToText(event) << "\"} " << count << "\n";
+  }
+  this->WriteDecisions(out);
   return out.str();
 }
 
+void
+Metrics::WriteDecisions(std::ostream& aOut) const
+{
+  for (const auto& [metric, values] : this->decisions) {
+    const std::string name = "jackdawwind_" + std::string(ToText(metric));
+    aOut << "# TYPE " << name << (IsCounter(metric) ? " counter\n" : " gauge\n");
+    for (const auto& [label, value] : values) {
+      aOut << name;
+      if (!label.empty()) {
+        aOut << "{label=\"" << EscapeLabelValue(label) << "\"}";
+      }
+      aOut << " " << value << "\n";
+    }
+  }
+}
+
 } // namespace jackdawwind::node
--- a/packages/node/metrics.h
+++ b/packages/node/metrics.h
@@ -75,6 +75,7 @@
 {
 public:
   static constexpr std::size_t kMaxOrganisations = 64;
+  static constexpr std::size_t kMaxLabels = 64;
 
   void Record(const CallMeasured& aMeasured);
   /// Counts a request that was refused before its organisation was known.
@@ -83,6 +84,10 @@
   std::uint64_t CountDrop(const std::string& aRing);
   /// Adds to the counters of control messages.
   void Count(const ControlTraffic& aTraffic);
+  /// Counts a log event, also one whose line is not written because of its level or a limit.
+  void Count(LogEvent aEvent);
+  /// Applies a metric of the decisions. Labels beyond the first kMaxLabels of a metric are dropped.
+  void Update(const MetricUpdated& aUpdate);
   /// All metrics in the Prometheus text format, version 0.0.4.
   std::string Text() const;
 
@@ -103,6 +108,7 @@
   using Series = std::tuple<std::string, Importance, bool>;
 
   std::string OrganisationLabel(const std::string& aOrganisation);
+  void WriteDecisions(std::ostream& aOut) const;
   void WriteHistogram(std::ostream& aOut,
                       const char* aName,
                       Histogram CallHistograms::*aMember) const;
@@ -114,6 +120,9 @@
   std::map<std::string, std::uint64_t> drops;
   /// Control messages sent and their bytes, by kind and distance.
   std::map<std::pair<std::string, Distance>, std::pair<std::uint64_t, std::uint64_t>> control;
+  std::map<LogEvent, std::uint64_t> logEvents;
+  /// Metrics of the decisions, by metric and label.
+  std::map<Metric, std::map<std::string, double>> decisions;
   std::uint64_t retries = 0;
 };
 
--- a/packages/node/report_item.h
+++ b/packages/node/report_item.h
@@ -56,6 +56,7 @@
 
 using ReportItem = std::variant<LogLine,
                                 CallMeasured,
+                                MetricUpdated,
                                 PhaseChanged,
                                 StatusReady,
                                 ItemDropped,
--- a/packages/node/reporting.cc
+++ b/packages/node/reporting.cc
@@ -223,6 +223,7 @@
 void
 Reporting::Apply(const LogLine& aItem)
 {
+  this->metrics.Count(aItem.GetEvent());
   this->log.Write(aItem.GetEvent(), aItem.Detail());
 }
 
@@ -232,6 +233,12 @@
   this->metrics.Record(aItem);
 }
 
+void
+Reporting::Apply(const MetricUpdated& aItem)
+{
+  this->metrics.Update(aItem);
+}
+
 void
 Reporting::Apply(const PhaseChanged& aItem)
 {
--- a/packages/node/reporting.h
+++ b/packages/node/reporting.h
@@ -83,6 +83,7 @@
   void ApplyReports();
   void Apply(const LogLine& aItem);
   void Apply(const CallMeasured& aItem);
+  void Apply(const MetricUpdated& aItem);
   void Apply(const PhaseChanged& aItem);
   void Apply(const StatusReady& aItem);
   void Apply(const ItemDropped& aItem);
