Pass pipelined requests on together and answer them in order

Cause: while an answer was awaited, bytes of the next request were buffered by a read that only watches for a disconnect. After the answer the connection waited for this read instead of parsing the buffer, so a pipelined request stalled until its client sent more. And one request of a connection was in progress at a time.

Ruled out: a limit of the buffer (the stalled requests are shorter than it); the order of answers, which was right.

Change: buffered requests are parsed as soon as they may be passed on; up to 8 safe requests of a caller's connection are in progress at once, and answers are written in order. Others wait until none is in progress.

--- a/packages/node/mesh_io.cc
+++ b/packages/node/mesh_io.cc
@@ -164,7 +164,9 @@
   };
   const ServerConnection::Options options{ .maxHeaderBytes = this->settings.MaxHeaderBytes(),
                                            .maxBodyBytes = this->settings.MaxBodyBytes(),
-                                           .interimInterval = std::nullopt };
+                                           .interimInterval = std::nullopt,
+                                           .maxPipelined =
+                                             aRole == ListenerRole::kCallers ? kMaxPipelined : 1 };
   const ServerConnection::Pointer connection =
     std::make_shared<ServerConnection>(std::move(aSocket),
                                        this->io,
@@ -390,8 +392,10 @@
     return;
   }
   if (found->second.connection) {
-    found->second.connection->Respond(
-      EmptyResponse(http::status::bad_gateway), BodyReservation(this->budget), AfterAnswer::kClose);
+    found->second.connection->RespondTo(aExchange,
+                                        EmptyResponse(http::status::bad_gateway),
+                                        BodyReservation(this->budget),
+                                        AfterAnswer::kClose);
   }
   this->Erase(found);
 }
@@ -547,8 +551,10 @@
                                   .load = aEffect.Load(),
                                   .slots = aEffect.Slots() });
     }
-    exchange.connection->Respond(
-      std::move(answer.response), std::move(answer.reservation), this->AfterAnswerTo(exchange));
+    exchange.connection->RespondTo(aEffect.Exchange(),
+                                   std::move(answer.response),
+                                   std::move(answer.reservation),
+                                   this->AfterAnswerTo(exchange));
   }
   this->Erase(found);
 }
@@ -573,8 +579,10 @@
     } else {
       response = this->frontEnd.writeRejection(aEffect, exchange.requestId);
     }
-    exchange.connection->Respond(
-      std::move(response), BodyReservation(this->budget), this->AfterAnswerTo(exchange));
+    exchange.connection->RespondTo(aEffect.Exchange(),
+                                   std::move(response),
+                                   BodyReservation(this->budget),
+                                   this->AfterAnswerTo(exchange));
   }
   this->Erase(found);
 }
--- a/packages/node/mesh_io.h
+++ b/packages/node/mesh_io.h
@@ -87,6 +87,8 @@
   static constexpr std::size_t kEffectRingCapacity = 4096;
   static constexpr std::size_t kMaxConnections = 2048;
   static constexpr std::size_t kMaxExchanges = 4096;
+  /// Requests of one caller's connection that are in progress at once.
+  static constexpr std::size_t kMaxPipelined = 8;
 
   struct Attempt
   {
--- a/packages/node/server_connection.cc
+++ b/packages/node/server_connection.cc
@@ -33,6 +33,13 @@
 constexpr unsigned kHttp10 = 10;
 constexpr unsigned kHttp11 = 11;
 
+/// Whether requests with this method change nothing at the server (RFC 9110, 9.2.1).
+bool
+IsSafe(http::verb aMethod)
+{
+  return aMethod == http::verb::get || aMethod == http::verb::head;
+}
+
 } // namespace
 
 ServerConnection::ServerConnection(Tcp::socket aSocket,
@@ -50,7 +57,7 @@
   , reservation(aBudget)
   , timer(aIo)
   , interimTimer(aIo)
-  , answerReservation(aBudget)
+  , writeTimer(aIo)
 {
   ++*this->openCount;
 }
@@ -79,14 +86,22 @@
   return remote.address();
 }
 
+void
+ServerConnection::ArmIdleTimer()
+{
+  this->timer.Arm(kHeaderTimeout, [self = this->shared_from_this()] { self->Close(); });
+}
+
 void
 ServerConnection::ReadHeader()
 {
-  this->requestComplete = false;
+  this->parsing = true;
   this->parser.emplace();
   this->parser->header_limit(this->options.maxHeaderBytes);
   this->parser->body_limit(this->options.maxBodyBytes);
-  this->timer.Arm(kHeaderTimeout, [self = this->shared_from_this()] { self->Close(); });
+  if (this->pending.empty()) {
+    this->ArmIdleTimer();
+  }
   http::async_read_header(this->socket,
                           this->buffer,
                           *this->parser,
@@ -101,6 +116,10 @@
   if (!this->open) {
     return;
   }
+  if (this->lingering) {
+    this->ReadLinger(kMaxLingerBytes);
+    return;
+  }
   if (aError) {
     this->RejectError(aError);
     return;
@@ -110,30 +129,40 @@
     this->Reject(ResultCode::kMalformedRequest, "the HTTP version is neither 1.0 nor 1.1");
     return;
   }
-  this->keepAlive = this->parser->get().keep_alive();
-  this->headRequest = this->parser->get().method() == http::verb::head;
   if (!this->ReserveBody()) {
     this->Reject(ResultCode::kNodeBusy, "no memory left for the body (body_memory_bytes)");
     return;
   }
   this->timer.Arm(kBodyTimeout, [self = this->shared_from_this()] { self->Close(); });
   if (beast::iequals(this->parser->get()[http::field::expect], "100-continue")) {
-    this->writing = true;
-    asio::async_write(this->socket,
-                      asio::buffer(kContinue.data(), kContinue.size()),
-                      [self = this->shared_from_this()](const ErrorCode& aFailure, std::size_t) {
-                        self->writing = false;
-                        if (aFailure) {
-                          self->Close();
-                        } else if (self->open) {
-                          self->BeginBody();
-                        }
-                      });
+    this->SendContinue();
     return;
   }
   this->BeginBody();
 }
 
+void
+ServerConnection::SendContinue()
+{
+  // It would stand before the answers to earlier requests.
+  this->continueHeld = !this->pending.empty();
+  if (this->continueHeld) {
+    this->timer.Disarm();
+    return;
+  }
+  this->writing = true;
+  asio::async_write(this->socket,
+                    asio::buffer(kContinue.data(), kContinue.size()),
+                    [self = this->shared_from_this()](const ErrorCode& aError, std::size_t) {
+                      self->writing = false;
+                      if (aError) {
+                        self->Close();
+                      } else if (self->open) {
+                        self->BeginBody();
+                      }
+                    });
+}
+
 void
 ServerConnection::BeginBody()
 {
@@ -162,6 +191,10 @@
   if (!this->open) {
     return;
   }
+  if (this->lingering) {
+    this->ReadLinger(kMaxLingerBytes);
+    return;
+  }
   if (aError) {
     this->RejectError(aError);
     return;
@@ -174,23 +207,60 @@
     this->ReadBody();
     return;
   }
-  this->requestComplete = true;
+  this->parsing = false;
   this->timer.Disarm();
-  this->HandleRequest();
+  if (this->MayHandleNow()) {
+    this->HandleRequest();
+  } else {
+    this->held = true;
+    this->WatchForDisconnect();
+  }
+}
+
+bool
+ServerConnection::MayHandleNow() const
+{
+  return this->pending.empty() ||
+         (this->pending.size() < this->options.maxPipelined && this->pending.back().isSafe &&
+          IsSafe(this->parser->get().method()));
+}
+
+ServerConnection::PendingAnswer&
+ServerConnection::AddPending(bool aComplete)
+{
+  const http::request<http::string_body>& request = this->parser->get();
+  this->pending.push_back(PendingAnswer{ .keepAlive = request.keep_alive(),
+                                         .isHead = request.method() == http::verb::head,
+                                         .isSafe = IsSafe(request.method()),
+                                         .complete = aComplete,
+                                         .response = std::nullopt,
+                                         .reservation = BodyReservation(this->budget) });
+  this->readingEnded = !aComplete || !request.keep_alive();
+  return this->pending.back();
 }
 
 void
 ServerConnection::HandleRequest()
 {
+  this->held = false;
+  this->AddPending(true);
   try {
     this->handlers.request(
       this->shared_from_this(), this->parser->release(), std::move(this->reservation));
   } catch (const std::exception&) {
     // The handler has not taken the request, so that it cannot run. The event loop reports the
     // exception.
-    this->Reject(ResultCode::kNodeBusy, "the request caused an exception");
+    this->readingEnded = true;
+    this->Respond(
+      this->handlers.reject({ ResultCode::kNodeBusy, "the request caused an exception" }),
+      BodyReservation(this->budget),
+      AfterAnswer::kClose);
     throw;
   }
+  if (this->pending.size() > 1) {
+    // The handler may have answered at once, which does not end the wait for the earlier answers.
+    this->ContinueReading();
+  }
 }
 
 bool
@@ -208,9 +278,12 @@
 ServerConnection::Reject(ResultCode aCode, const std::string& aReason)
 {
   this->reservation.Release();
-  this->Respond(this->handlers.reject(Rejection{ aCode, aReason }),
-                BodyReservation(this->budget),
-                AfterAnswer::kClose);
+  this->parsing = false;
+  this->timer.Disarm();
+  this->SetAnswer(this->AddPending(false),
+                  this->handlers.reject(Rejection{ aCode, aReason }),
+                  BodyReservation(this->budget),
+                  AfterAnswer::kClose);
 }
 
 void
@@ -232,8 +305,22 @@
 void
 ServerConnection::AwaitAnswer(std::uint64_t aExchange)
 {
-  this->exchange = aExchange;
-  this->WatchForDisconnect();
+  this->pending.back().exchange = aExchange;
+  this->ContinueReading();
+}
+
+void
+ServerConnection::ContinueReading()
+{
+  if (!this->open || this->parsing || this->watching || this->held) {
+    return;
+  }
+  const bool mayParse = !this->readingEnded && this->pending.size() < this->options.maxPipelined;
+  if (mayParse) {
+    this->ReadHeader();
+  } else {
+    this->WatchForDisconnect();
+  }
 }
 
 void
@@ -257,16 +344,20 @@
   if (!this->open) {
     return;
   }
-  if (aError) {
+  // Cancelled by OnAnswerWritten, since bytes of a request are buffered.
+  const bool cancelled = aError == asio::error::operation_aborted;
+  if (aError && !cancelled) {
     // A client that only shuts down its sending side looks the same as one that disconnected.
     this->Close();
     return;
   }
-  this->buffer.commit(aBytes);
-  if (this->exchange != 0) {
+  this->buffer.commit(cancelled ? 0 : aBytes);
+  if (this->lingering) {
+    this->ReadLinger(kMaxLingerBytes);
+  } else if (this->held) {
     this->WatchForDisconnect();
-  } else if (!this->IsWriting()) {
-    this->ReadHeader();
+  } else {
+    this->ContinueReading();
   }
 }
 
@@ -282,7 +373,7 @@
 void
 ServerConnection::SendInterim()
 {
-  if (!this->open || this->answer) {
+  if (!this->open || (!this->pending.empty() && this->pending.front().response)) {
     return;
   }
   this->ArmInterim();
@@ -296,29 +387,62 @@
                       self->writing = false;
                       if (aError) {
                         self->Close();
-                      } else if (self->answer) {
+                      } else {
                         self->WriteAnswer();
                       }
                     });
 }
 
+bool
+ServerConnection::IsWriting() const
+{
+  return this->writing ||
+         std::any_of(this->pending.begin(), this->pending.end(), [](const PendingAnswer& aPending) {
+           return aPending.response.has_value();
+         });
+}
+
 void
 ServerConnection::Respond(HttpResponse aResponse, BodyReservation aReservation, AfterAnswer aAfter)
 {
-  if (!this->open || this->answer) {
+  if (this->open && !this->pending.empty()) {
+    this->SetAnswer(this->pending.back(), std::move(aResponse), std::move(aReservation), aAfter);
+  }
+}
+
+void
+ServerConnection::RespondTo(std::uint64_t aExchange,
+                            HttpResponse aResponse,
+                            BodyReservation aReservation,
+                            AfterAnswer aAfter)
+{
+  const PendingAnswers::iterator found =
+    std::find_if(this->pending.begin(), this->pending.end(), [aExchange](const auto& aPending) {
+      return aPending.exchange == aExchange;
+    });
+  if (this->open && found != this->pending.end()) {
+    this->SetAnswer(*found, std::move(aResponse), std::move(aReservation), aAfter);
+  }
+}
+
+void
+ServerConnection::SetAnswer(PendingAnswer& aPending,
+                            HttpResponse aResponse,
+                            BodyReservation aReservation,
+                            AfterAnswer aAfter)
+{
+  if (aPending.response) {
     return;
   }
-  this->exchange = 0;
-  this->interimTimer.Disarm();
-  this->keepAlive = this->keepAlive && aAfter == AfterAnswer::kKeepAlive;
-  this->answer = std::move(aResponse);
-  this->answer->version(kHttp11);
-  this->answer->keep_alive(this->keepAlive);
-  if (this->headRequest) {
+  aPending.exchange = 0;
+  aPending.keepAlive = aPending.keepAlive && aAfter == AfterAnswer::kKeepAlive;
+  aPending.response = std::move(aResponse);
+  aPending.response->version(kHttp11);
+  if (aPending.isHead) {
     // An answer to HEAD has no body but keeps its Content-Length.
-    this->answer->body().clear();
+    aPending.response->body().clear();
   }
-  this->answerReservation = std::move(aReservation);
+  aPending.reservation = std::move(aReservation);
   if (!this->writing) {
     this->WriteAnswer();
   }
@@ -327,10 +451,18 @@
 void
 ServerConnection::WriteAnswer()
 {
+  if (!this->open || this->pending.empty() || !this->pending.front().response) {
+    return;
+  }
+  PendingAnswer& next = this->pending.front();
+  this->interimTimer.Disarm();
+  // What was passed on behind this request has to be answered on this connection.
+  next.keepAlive = next.keepAlive || this->pending.size() > 1;
+  next.response->keep_alive(next.keepAlive);
   this->writing = true;
-  this->timer.Arm(kWriteTimeout, [self = this->shared_from_this()] { self->Close(); });
+  this->writeTimer.Arm(kWriteTimeout, [self = this->shared_from_this()] { self->Close(); });
   http::async_write(this->socket,
-                    *this->answer,
+                    *next.response,
                     [self = this->shared_from_this()](const ErrorCode& aError, std::size_t) {
                       self->OnAnswerWritten(aError);
                     });
@@ -340,34 +472,59 @@
 ServerConnection::OnAnswerWritten(const ErrorCode& aError)
 {
   this->writing = false;
-  this->answer.reset();
-  this->answerReservation.Release();
+  this->writeTimer.Disarm();
+  const bool keepAlive = this->pending.front().keepAlive;
+  const bool complete = this->pending.front().complete;
+  this->pending.pop_front();
   if (!this->open) {
     return;
   }
   if (aError) {
     this->Close();
-  } else if (!this->keepAlive) {
-    this->Linger();
-  } else if (this->watching) {
+    return;
+  }
+  if (!keepAlive) {
+    this->Linger(complete);
+    return;
+  }
+  if (this->watching && this->buffer.size() > 0) {
+    // Nothing is being written now, so that this ends the read only. Without it the buffered
+    // request would wait for further bytes of the client.
+    this->socket.cancel();
+  }
+  if (!this->pending.empty()) {
+    this->WriteAnswer();
+    this->ContinueReading();
+    return;
+  }
+  if (this->held) {
+    this->HandleRequest();
+  } else if (this->continueHeld) {
+    this->timer.Arm(kBodyTimeout, [self = this->shared_from_this()] { self->Close(); });
+    this->SendContinue();
+  } else if (this->parsing || this->watching) {
     // The pending read receives the first bytes of the next request.
-    this->timer.Arm(kHeaderTimeout, [self = this->shared_from_this()] { self->Close(); });
+    this->ArmIdleTimer();
   } else {
     this->ReadHeader();
   }
 }
 
 void
-ServerConnection::Linger()
+ServerConnection::Linger(bool aRequestComplete)
 {
-  if (this->requestComplete) {
+  if (aRequestComplete && !this->parsing && !this->held && this->buffer.size() == 0) {
     this->Close();
     return;
   }
+  this->lingering = true;
   ErrorCode ignored;
   this->socket.shutdown(Tcp::socket::shutdown_send, ignored);
   this->timer.Arm(kLingerTimeout, [self = this->shared_from_this()] { self->Close(); });
-  this->ReadLinger(kMaxLingerBytes);
+  // A read that is in progress goes on as the first one of the lingering.
+  if (!this->parsing && !this->watching) {
+    this->ReadLinger(kMaxLingerBytes);
+  }
 }
 
 void
@@ -394,10 +551,13 @@
   this->open = false;
   this->timer.Disarm();
   this->interimTimer.Disarm();
+  this->writeTimer.Disarm();
   ErrorCode ignored;
   this->socket.close(ignored);
-  if (this->exchange != 0) {
-    this->handlers.disconnected(std::exchange(this->exchange, 0));
+  for (PendingAnswer& answer : this->pending) {
+    if (answer.exchange != 0) {
+      this->handlers.disconnected(std::exchange(answer.exchange, 0));
+    }
   }
 }
 
--- a/packages/node/server_connection.h
+++ b/packages/node/server_connection.h
@@ -1,5 +1,5 @@
-// One accepted HTTP connection: reads complete requests one after the other and writes their
-// answers.
+// One accepted HTTP connection: reads complete requests and writes their answers in the order of
+// the requests.
 //
 //   std::shared_ptr<ServerConnection> connection =
 //     std::make_shared<ServerConnection>(std::move(socket), options, handlers);
@@ -9,12 +9,23 @@
 //   connection->Respond(response, reservation, AfterAnswer::kKeepAlive);
 //
 // Malformed and oversized requests are refused here, and their connections closed. While an answer
-// is awaited the connection is read, in order to notice when the client disconnects; bytes of a
-// pipelined request are buffered until then. Handlers run on the thread of the event loop. Not
-// thread-safe. The connection keeps itself alive while an operation is pending.
+// is awaited the connection is read, in order to notice when the client disconnects.
+//
+// A client may send further requests before an answer (pipelining). Up to Options::maxPipelined of
+// them are passed on at once, so that a request does not wait for the work of those before it; a
+// finished answer waits until the earlier ones are written. Only requests with a safe method (RFC
+// 9110, 9.2.1) are passed on beside others: a client may repeat what stands behind an answer that
+// closes the connection, whether it ran or not. For the same reason an answer closes the connection
+// only if no request behind it has been passed on. Further bytes are buffered up to a limit; beyond
+// it the connection is not read, which bounds the memory of a client that sends without reading.
+//
+// Handlers run on the thread of the event loop. Not thread-safe. The connection keeps itself alive
+// while an operation is pending.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -60,6 +71,9 @@
     /// section is read, so that neither a long body nor a long wait in a queue looks like a silent
     /// connection.
     std::optional<Duration> interimInterval;
+    /// Requests of the connection that may be in progress at once, at least 1. Answers to requests
+    /// beyond the first must name their exchange.
+    std::size_t maxPipelined = 1;
   };
 
   /// Time limit for an idle connection and for reading a header section.
@@ -85,36 +99,69 @@
   /// Address of the other end; nothing once the connection is broken.
   std::optional<asio::ip::address> RemoteAddress() const;
 
-  /// Watches for a disconnect until the answer to aExchange, which must not be 0.
+  /// Watches for a disconnect until the answer to the request that was passed on last, which is
+  /// aExchange from now on; must not be 0.
   void AwaitAnswer(std::uint64_t aExchange);
 
-  /// Writes the answer and holds aReservation until it is written. Does nothing when the connection
-  /// is closed or already has an answer.
+  /// Writes the answer to the request that was passed on last, and holds aReservation until it is
+  /// written. Does nothing when the connection is closed or already has this answer.
   void Respond(HttpResponse aResponse, BodyReservation aReservation, AfterAnswer aAfter);
+  /// Writes the answer to the request of this exchange after the answers to all earlier ones.
+  void RespondTo(std::uint64_t aExchange,
+                 HttpResponse aResponse,
+                 BodyReservation aReservation,
+                 AfterAnswer aAfter);
 
   /// Sends an interim response at once, unless a write is in progress or an answer is set.
   void SendInterim();
 
   /// Whether an answer is set or anything is being written.
-  bool IsWriting() const { return this->writing || this->answer.has_value(); }
+  bool IsWriting() const;
 
 private:
+  /// A request that was passed on or refused, and its answer.
+  struct PendingAnswer
+  {
+    /// Exchange whose answer is awaited; 0 for none.
+    std::uint64_t exchange = 0;
+    bool keepAlive = true;
+    bool isHead = false;
+    bool isSafe = false;
+    /// Whether the request was read to its end.
+    bool complete = true;
+    std::optional<HttpResponse> response;
+    BodyReservation reservation;
+  };
+
+  using PendingAnswers = std::deque<PendingAnswer>;
+
   void ReadHeader();
   void OnHeader(const ErrorCode& aError);
   void BeginBody();
   void ReadBody();
   void OnBody(const ErrorCode& aError);
   bool ReserveBody();
+  void SendContinue();
+  /// Whether the request that was read may be passed on beside those that are in progress.
+  bool MayHandleNow() const;
   /// Passes the request on, and rejects it if the handler throws.
   void HandleRequest();
+  /// Reads the next request, or only watches for a disconnect.
+  void ContinueReading();
+  PendingAnswer& AddPending(bool aComplete);
+  void SetAnswer(PendingAnswer& aPending,
+                 HttpResponse aResponse,
+                 BodyReservation aReservation,
+                 AfterAnswer aAfter);
   void Reject(ResultCode aCode, const std::string& aReason);
   void RejectError(const ErrorCode& aError);
+  void ArmIdleTimer();
   void WatchForDisconnect();
   void OnWatchRead(const ErrorCode& aError, std::size_t aBytes);
   void ArmInterim();
   void WriteAnswer();
   void OnAnswerWritten(const ErrorCode& aError);
-  void Linger();
+  void Linger(bool aRequestComplete);
   void ReadLinger(std::size_t aRemainingBytes);
   void Close();
 
@@ -128,16 +175,23 @@
   BodyReservation reservation;
   OperationTimer timer;
   OperationTimer interimTimer;
-  /// Exchange whose answer is awaited; 0 for none.
-  std::uint64_t exchange = 0;
+  OperationTimer writeTimer;
+  /// In the order of the requests; the first one is written next.
+  PendingAnswers pending;
   bool open = true;
   bool writing = false;
+  /// A read that only notices a disconnect is in progress.
   bool watching = false;
-  bool requestComplete = false;
-  bool keepAlive = true;
-  bool headRequest = false;
-  std::optional<HttpResponse> answer;
-  BodyReservation answerReservation;
+  /// A request is being read.
+  bool parsing = false;
+  /// A request was read that waits until no other one is in progress.
+  bool held = false;
+  /// The client of the request that is being read waits for 100 Continue.
+  bool continueHeld = false;
+  /// No further request is read: the last one was refused, or ends the connection.
+  bool readingEnded = false;
+  /// The last answer was written; the rest of what the client sends is dropped.
+  bool lingering = false;
 };
 
 } // namespace jackdawwind::node
