Choose targets by expected time and bound what leaves the domain

Cause: the cost of a candidate ignored that targets of a service differ in speed, and nothing damped the traffic between two domains of which each looks better in turn.

Change: the node beside a target states the mean time of the route with each answer (field expectedTime, header between nodes). With an entry of the policy file for its region (--policy FILE) a node picks by the expected time to the response (TargetSpeed) and lets only a bounded share of the requests leave the failure domain and the region (DomainOverflow). Without an entry the former code decides.

--- a/packages/decisions/mesh/entry_requests.cc
+++ b/packages/decisions/mesh/entry_requests.cc
@@ -76,6 +76,15 @@
   return aRoute.Kind() == RouteKind::kIdempotent;
 }
 
+NodePicker::Load
+LoadOf(const MeshRoute& aRoute, const HopAnswered& aAnswer)
+{
+  return { .perMille = aAnswer.Load(),
+           .slots = aAnswer.Slots(),
+           .route = aRoute.Name(),
+           .expectedTime = aAnswer.ExpectedTime() };
+}
+
 } // namespace
 
 EntryRequests::EntryRequests(Modules aModules, Options aOptions, std::uint64_t aSeed)
@@ -188,8 +197,14 @@
   if (remaining < kMinSendTime) {
     return false;
   }
-  const std::optional<PeerAddress> peer = this->modules.picker.Pick(
-    { .service = request.service, .tried = request.tried, .bodyBytes = request.bodyBytes }, aNow);
+  const std::optional<PeerAddress> peer =
+    this->modules.picker.Pick({ .service = request.service,
+                                .tried = request.tried,
+                                .bodyBytes = request.bodyBytes,
+                                .route = request.route.Name(),
+                                .remaining = remaining,
+                                .nested = IsNestedCall(request.rank) },
+                              aNow);
   if (!peer) {
     return false;
   }
@@ -241,7 +256,7 @@
     void operator()(const HopAnswered& aAnswer) const
     {
       this->self.modules.picker.NoteAnswer(
-        this->request->second.node, { aAnswer.Load(), aAnswer.Slots() }, this->now);
+        this->request->second.node, LoadOf(this->request->second.route, aAnswer), this->now);
       this->self.HandleAnswer(this->request, aAnswer, this->now, this->effects);
     }
     void operator()(const TargetReplied& /*aOutcome*/) const {}
@@ -295,7 +310,7 @@
       const Requests::iterator found = this->requests.find(outcome.exchange);
       if (found != this->requests.end() && found->second.attempt == outcome.attempt) {
         this->modules.picker.NoteAnswer(
-          this->options.node, { outcome.answer.Load(), outcome.answer.Slots() }, aNow);
+          this->options.node, LoadOf(found->second.route, outcome.answer), aNow);
         this->HandleAnswer(found, outcome.answer, aNow, aEffects);
       }
     }
--- a/packages/decisions/mesh/local_target.cc
+++ b/packages/decisions/mesh/local_target.cc
@@ -115,7 +115,8 @@
                              .code = aCode,
                              .run = RunState::kNotRun,
                              .load = this->scheduler.LoadPerMille(),
-                             .slots = this->scheduler.Slots() });
+                             .slots = this->scheduler.Slots(),
+                             .expectedTime = this->routeTimes.Mean(aRequest.context.RouteName()) });
   if (!aRequest.local) {
     AddLogLine(aEffects,
                LogEvent::kHopRefused,
@@ -143,23 +144,26 @@
     aEffects.push_back(RelayReply({ .exchange = request.exchange,
                                     .attempt = request.attempt,
                                     .load = aAnswer.Load(),
-                                    .slots = aAnswer.Slots() }));
+                                    .slots = aAnswer.Slots(),
+                                    .expectedTime = aAnswer.ExpectedTime() }));
     return;
   }
   aEffects.push_back(RejectRequest({ .exchange = request.exchange,
                                      .code = aAnswer.Code(),
                                      .run = aAnswer.Run(),
                                      .load = aAnswer.Load(),
-                                     .slots = aAnswer.Slots() }));
+                                     .slots = aAnswer.Slots(),
+                                     .expectedTime = aAnswer.ExpectedTime() }));
 }
 
 HopAnswered
-LocalTarget::ToAnswer(const SendOutcome& aOutcome) const
+LocalTarget::ToAnswer(const SendOutcome& aOutcome, const std::string& aRoute) const
 {
   struct Visitor
   {
     std::uint32_t load;
     std::uint32_t slots;
+    Duration expectedTime;
 
     HopAnswered Make(ResultCode aCode, RunState aRun) const
     {
@@ -167,7 +171,8 @@
                            .code = aCode,
                            .run = aRun,
                            .load = this->load,
-                           .slots = this->slots });
+                           .slots = this->slots,
+                           .expectedTime = this->expectedTime });
     }
     HopAnswered operator()(const TargetReplied& aReply) const
     {
@@ -182,7 +187,8 @@
                            .code = ResultCode::kOk,
                            .run = RunState::kRan,
                            .load = this->load,
-                           .slots = this->slots });
+                           .slots = this->slots,
+                           .expectedTime = this->expectedTime });
     }
     HopAnswered operator()(const HopAnswered& aAnswer) const { return aAnswer; }
     HopAnswered operator()(const ConnectFailed& /*aOutcome*/) const
@@ -198,7 +204,26 @@
       return this->Make(ResultCode::kAttemptTimedOut, RunState::kUnknown);
     }
   };
-  return std::visit(Visitor{ this->scheduler.LoadPerMille(), this->scheduler.Slots() }, aOutcome);
+  return std::visit(Visitor{ this->scheduler.LoadPerMille(),
+                             this->scheduler.Slots(),
+                             this->routeTimes.Mean(aRoute) },
+                    aOutcome);
+}
+
+void
+LocalTarget::NoteTime(const Entry& aEntry, const SendOutcome& aOutcome, Time aNow)
+{
+  const std::string& route = aEntry.request.context.RouteName();
+  const Duration took = aNow - aEntry.startedAt;
+  if (std::holds_alternative<TimedOut>(aOutcome)) {
+    this->routeTimes.NoteTimeout(route, took, aNow);
+    return;
+  }
+  // A failure may come at once, which says nothing about the speed.
+  const TargetReplied* reply = std::get_if<TargetReplied>(&aOutcome);
+  if (reply != nullptr && !reply->NotExecuted() && reply->Status() < kFirstServerError) {
+    this->routeTimes.NoteAnswer(route, took, aNow);
+  }
 }
 
 bool
@@ -211,7 +236,8 @@
   const Entry entry = std::move(found->second);
   this->requests.erase(found);
   const bool answered = std::holds_alternative<TargetReplied>(aEnded.Outcome());
-  const HopAnswered answer = this->ToAnswer(aEnded.Outcome());
+  this->NoteTime(entry, aEnded.Outcome(), aNow);
+  const HopAnswered answer = this->ToAnswer(aEnded.Outcome(), entry.request.context.RouteName());
   const bool ran = answered && answer.Run() == RunState::kRan;
   const bool timedOut = answer.Code() == ResultCode::kAttemptTimedOut;
   // After a long wait here a request may fail because too little time was left, which is no sign of
@@ -245,6 +271,7 @@
   }
   if (entry.running) {
     aEffects.push_back(CancelSend({ .exchange = aExchange, .attempt = entry.request.attempt }));
+    this->NoteTime(entry, TimedOut(), aNow);
     this->scheduler.Finish(entry.request.context, {}, aNow);
   } else {
     this->scheduler.Abandon(aExchange);
--- a/packages/decisions/mesh/local_target.h
+++ b/packages/decisions/mesh/local_target.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "decisions/effects.h"
+#include "decisions/mesh/route_times.h"
 #include "decisions/mesh/target_registration.h"
 #include "decisions/mesh/target_scheduler.h"
 #include "util/clock.h"
@@ -113,10 +114,13 @@
   void RefuseWaiting(Effects& aEffects);
   void Finish(const Entry& aEntry, const HopAnswered& aAnswer, Effects& aEffects);
   /// Derives the status, result code and run state from the outcome of a send.
-  HopAnswered ToAnswer(const SendOutcome& aOutcome) const;
+  HopAnswered ToAnswer(const SendOutcome& aOutcome, const std::string& aRoute) const;
+  /// Notes how long the target took, for the nodes that choose among targets.
+  void NoteTime(const Entry& aEntry, const SendOutcome& aOutcome, Time aNow);
 
   TargetRegistration registration;
   TargetScheduler scheduler;
+  RouteTimes routeTimes;
   Entries requests;
   std::vector<Outcome> outcomes;
   /// No request is sent before this time, because the target refused a connection.
--- a/packages/decisions/mesh/mesh_core.cc
+++ b/packages/decisions/mesh/mesh_core.cc
@@ -41,6 +41,20 @@
 /// shutdown.
 constexpr Duration kHopDeadlinesInterval = std::chrono::milliseconds(300);
 
+/// Zero if no route has an objective.
+Duration
+ShortestObjective(const MeshConfiguration& aConfiguration)
+{
+  Duration shortest{};
+  for (const MeshRoute& route : aConfiguration.Routes()) {
+    const bool known = route.Objective() > Duration::zero();
+    if (known && (shortest == Duration::zero() || route.Objective() < shortest)) {
+      shortest = route.Objective();
+    }
+  }
+  return shortest;
+}
+
 } // namespace
 
 class MeshCore::Impl
@@ -63,7 +77,8 @@
     , splits(DeriveSeed(this->options.seed, RandomStream::kSplits))
     , picker({ .node = this->options.self.Node(),
                .domain = this->options.domain,
-               .region = this->options.region },
+               .region = this->options.region,
+               .policy = this->options.policy },
              DeriveSeed(this->options.seed, RandomStream::kPicker))
     , entry({ configuration, quota, budget, splits, picker, target },
             { .node = this->options.self.Node(), .service = this->options.service },
@@ -102,6 +117,7 @@
                       this->target.NextWake(),
                       this->shutdown.NextWake(),
                       this->storeReaders.NextWake(),
+                      this->picker.NextWake(),
                       this->nextHopDeadlines,
                       servingAt });
   }
@@ -317,6 +333,7 @@
     this->quota.Configure(*this->configuration.Table(), aNow);
     this->quota.SetMembers(this->membership.Members(), aNow);
     this->membership.SetConfigOffset(this->configuration.Version());
+    this->picker.SetShortestObjective(ShortestObjective(aConfiguration));
   }
 
   /// Publishes the local target's service and state through the membership.
@@ -350,6 +367,7 @@
     }
     this->quota.Poll(aNow, aEffects);
     this->entry.Continue(aNow, aEffects);
+    this->picker.Poll(aNow, aEffects);
     for (const std::string& node : this->entry.TakeUnresponsiveNodes()) {
       this->membership.ReportUnresponsive(node, aNow);
     }
--- a/packages/decisions/mesh/mesh_core.h
+++ b/packages/decisions/mesh/mesh_core.h
@@ -12,11 +12,13 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "decisions/effects.h"
 #include "util/clock.h"
 #include "values/generated/calls.h"
+#include "values/generated/settings.h"
 
 namespace jackdawwind {
 
@@ -31,6 +33,8 @@
     std::string region;
     /// Service of the target on this host; sent to targets as the calling service.
     std::string service;
+    /// Entry of the policy file for the region; nothing without one.
+    std::optional<RegionPolicy> policy;
     /// Must grow with every start of the node.
     std::uint64_t incarnation = 0;
     std::uint64_t seed = 0;
--- a/packages/decisions/mesh/node_picker.cc
+++ b/packages/decisions/mesh/node_picker.cc
@@ -1,8 +1,11 @@
 #include "decisions/mesh/node_picker.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
+#include "values/text.h"
+
 namespace jackdawwind {
 
 namespace {
@@ -32,12 +35,68 @@
 /// candidates.
 constexpr double kMaxTieBreakCost = 0.5;
 
+/// Time that a request takes if no target has stated one, in milliseconds.
+constexpr double kUnknownTime = 50;
+/// Age up to which a load report counts for the mean of its distance.
+constexpr Duration kMeanLoadLifetime = std::chrono::seconds(10);
+/// Part of the shortest objective that callers hardly notice.
+constexpr int kObjectiveDivisor = 20;
+/// Minimum gain while the configuration states no objective.
+constexpr Duration kFallbackMinGain = std::chrono::milliseconds(50);
+/// Margin of an expected time against the deadline, like that of TargetScheduler.
+constexpr double kDeadlineMargin = 1.5;
+constexpr double kNoCandidate = std::numeric_limits<double>::infinity();
+
+std::size_t
+IndexOf(Distance aDistance)
+{
+  return static_cast<std::size_t>(aDistance);
+}
+
+double
+Milliseconds(Duration aTime)
+{
+  return std::chrono::duration<double, std::milli>(aTime).count();
+}
+
+Duration
+FromMilliseconds(double aTime)
+{
+  constexpr double kMicrosecondsPerMillisecond = 1000;
+  return Duration(static_cast<Duration::rep>(aTime * kMicrosecondsPerMillisecond));
+}
+
 } // namespace
 
 NodePicker::NodePicker(Options aOptions, std::uint64_t aSeed)
   : options(std::move(aOptions))
   , random(aSeed)
 {
+  this->UpdateMinGains();
+}
+
+void
+NodePicker::UpdateMinGains()
+{
+  if (!this->options.policy) {
+    return;
+  }
+  const RegionPolicy& policy = *this->options.policy;
+  const Duration derived = this->shortestObjective > Duration::zero()
+                             ? this->shortestObjective / kObjectiveDivisor
+                             : kFallbackMinGain;
+  const Duration home = policy.MinGain() > Duration::zero() ? policy.MinGain() : derived;
+  const Duration other =
+    policy.OtherRegionMinGain() > Duration::zero() ? policy.OtherRegionMinGain() : home;
+  this->overflow.SetMinGain(Distance::kOwnRegion, home);
+  this->overflow.SetMinGain(Distance::kOtherRegion, other);
+}
+
+void
+NodePicker::SetShortestObjective(Duration aObjective)
+{
+  this->shortestObjective = aObjective;
+  this->UpdateMinGains();
 }
 
 Distance
@@ -52,8 +111,12 @@
 void
 NodePicker::SetMembers(const Members& aMembers)
 {
-  std::erase_if(this->records, [&aMembers](const std::pair<const std::string, Record>& aEntry) {
-    return !aMembers.contains(aEntry.first);
+  std::erase_if(this->records, [&](const std::pair<const std::string, Record>& aEntry) {
+    if (aMembers.contains(aEntry.first)) {
+      return false;
+    }
+    this->speed.Forget(aEntry.first);
+    return true;
   });
   this->candidatesByService.clear();
   for (const Members::value_type& entry : aMembers) {
@@ -104,15 +167,22 @@
 std::optional<PeerAddress>
 NodePicker::Pick(const Criteria& aCriteria, Time aNow)
 {
-  const std::map<std::string, std::vector<Candidate>>::const_iterator found =
+  const std::map<std::string, Candidates>::const_iterator found =
     this->candidatesByService.find(aCriteria.service);
   if (found == this->candidatesByService.end()) {
     return std::nullopt;
   }
+  return this->options.policy ? this->PickByTime(found->second, aCriteria, aNow)
+                              : this->PickByDistance(found->second, aCriteria, aNow);
+}
+
+std::optional<PeerAddress>
+NodePicker::PickByDistance(const Candidates& aCandidates, const Criteria& aCriteria, Time aNow)
+{
   const Candidate* best = nullptr;
   double bestCost = 0;
   bool bestExcluded = false;
-  for (const Candidate& candidate : found->second) {
+  for (const Candidate& candidate : aCandidates) {
     if (!aCriteria.tried.empty() && aCriteria.tried.contains(candidate.address.Node())) {
       continue;
     }
@@ -133,6 +203,216 @@
   return best->address;
 }
 
+double
+NodePicker::PolicyDistanceCost(const Candidate& aCandidate, std::uint64_t aBodyBytes) const
+{
+  const double kilobytes = static_cast<double>(aBodyBytes) / kBytesPerKilobyte;
+  if (aCandidate.isSelf) {
+    return kSameNodeCost;
+  }
+  switch (aCandidate.distance) {
+    case Distance::kOwnDomain:
+      return kSameDomainCost;
+    case Distance::kOwnRegion:
+      return kSameRegionCost + kilobytes * this->options.policy->BytesWeight();
+    default:
+      return kOtherRegionCost + kilobytes * this->options.policy->OtherRegionBytesWeight();
+  }
+}
+
+std::vector<NodePicker::Rated>
+NodePicker::Rate(const Candidates& aCandidates, const Criteria& aCriteria, Time aNow) const
+{
+  // The load of a target without a recent report is that of the others at its distance. Counted as
+  // idle, it would show room in a domain that is full.
+  std::array<double, kDistances> loadSum{};
+  std::array<double, kDistances> weightSum{};
+  std::vector<std::string_view> nodes;
+  nodes.reserve(aCandidates.size());
+  for (const Candidate& candidate : aCandidates) {
+    nodes.push_back(candidate.address.Node());
+    const Record& record = *candidate.record;
+    const double age = Seconds(aNow - record.loadAt) / Seconds(kMeanLoadLifetime);
+    const double weight = record.loadAt > Time{} ? std::max(1 - age, 0.0) : 0;
+    loadSum.at(IndexOf(candidate.distance)) += record.load * weight;
+    weightSum.at(IndexOf(candidate.distance)) += weight;
+  }
+  const std::vector<TargetSpeed::Estimate> times =
+    this->speed.Estimates(aCriteria.route, nodes, aNow);
+  std::vector<Rated> rated;
+  rated.reserve(aCandidates.size());
+  for (std::size_t index = 0; index < aCandidates.size(); ++index) {
+    const Candidate& candidate = aCandidates[index];
+    const Record& record = *candidate.record;
+    const std::size_t distance = IndexOf(candidate.distance);
+    const double mean =
+      weightSum.at(distance) > 0 ? loadSum.at(distance) / weightSum.at(distance) : 0;
+    const double age = Seconds(aNow - record.loadAt) / Seconds(kLoadLifetime);
+    const double freshness = record.loadAt > Time{} ? std::clamp(1 - age, 0.0, 1.0) : 0;
+    const double load = std::max(record.load * freshness + mean * (1 - freshness) +
+                                   record.sentSinceReport * record.loadPerRequest,
+                                 record.inFlight * record.loadPerRequest);
+    const TargetSpeed::Estimate& time = times[index];
+    const double expected =
+      time.expected > Duration::zero() ? Milliseconds(time.expected) : kUnknownTime;
+    const bool excluded = candidate.suspect || record.excludedUntil > aNow;
+    const bool slowAndBusy = time.slow && record.inFlight > 0;
+    rated.push_back({ .candidate = &candidate,
+                      .usability = excluded      ? Usability::kExcluded
+                                   : slowAndBusy ? Usability::kSlowAndBusy
+                                                 : Usability::kUsable,
+                      .tried = aCriteria.tried.contains(candidate.address.Node()),
+                      .load = load,
+                      .cost = this->PolicyDistanceCost(candidate, aCriteria.bodyBytes) +
+                              load * kCostPerLoad + std::max(load - 1, 0.0) * expected +
+                              expected });
+  }
+  return rated;
+}
+
+NodePicker::Summary
+NodePicker::Summarise(const std::vector<Rated>& aRated)
+{
+  Summary summary;
+  summary.bestCost.fill(kNoCandidate);
+  for (const Rated& rated : aRated) {
+    if (rated.usability == Usability::kExcluded) {
+      continue;
+    }
+    const Distance distance = rated.candidate->distance;
+    if (rated.tried) {
+      summary.triedAtHome = summary.triedAtHome || distance == Distance::kOwnDomain;
+      continue;
+    }
+    const std::size_t index = IndexOf(distance);
+    summary.bestCost.at(index) = std::min(summary.bestCost.at(index), rated.cost);
+    summary.loadSum.at(index) += rated.load;
+    ++summary.count.at(index);
+  }
+  return summary;
+}
+
+void
+NodePicker::Observe(const Summary& aSummary, const std::string& aService, Time aNow)
+{
+  double near = kNoCandidate;
+  double loadSum = 0;
+  std::size_t count = 0;
+  for (const Distance distance : { Distance::kOwnRegion, Distance::kOtherRegion }) {
+    const std::size_t inner = IndexOf(distance) - 1;
+    near = std::min(near, aSummary.bestCost.at(inner));
+    loadSum += aSummary.loadSum.at(inner);
+    count += aSummary.count.at(inner);
+    const double far = aSummary.bestCost.at(IndexOf(distance));
+    if (near < kNoCandidate && far < kNoCandidate) {
+      this->overflow.Observe(aService,
+                             distance,
+                             { .near = FromMilliseconds(near),
+                               .far = FromMilliseconds(far),
+                               .nearLoad = loadSum / static_cast<double>(count) },
+                             aNow);
+    }
+  }
+}
+
+bool
+NodePicker::IsUrgent(const Summary& aSummary, Distance aDistance, const Criteria& aCriteria) const
+{
+  double near = kNoCandidate;
+  for (std::size_t inner = 0; inner < IndexOf(aDistance); ++inner) {
+    near = std::min(near, aSummary.bestCost.at(inner));
+  }
+  const double far = aSummary.bestCost.at(IndexOf(aDistance));
+  if (near - far <= Milliseconds(this->overflow.MinGain(aDistance))) {
+    return false;
+  }
+  const double remaining = Milliseconds(aCriteria.remaining);
+  return aCriteria.nested ||
+         (near * kDeadlineMargin > remaining && far * kDeadlineMargin <= remaining);
+}
+
+NodePicker::Reach
+NodePicker::ReachOf(const Summary& aSummary, const Criteria& aCriteria)
+{
+  Reach reach;
+  while (reach.distance < Distance::kOtherRegion &&
+         aSummary.count.at(IndexOf(reach.distance)) == 0) {
+    reach.distance = static_cast<Distance>(IndexOf(reach.distance) + 1);
+    reach.reason = aSummary.triedAtHome ? OverflowReason::kRefused : OverflowReason::kNoTarget;
+  }
+  for (const Distance distance : { Distance::kOwnRegion, Distance::kOtherRegion }) {
+    // Every request counts for the shares, also one that may leave for another reason.
+    const bool inShare = this->overflow.Take(aCriteria.service, distance);
+    if (distance <= reach.distance) {
+      continue;
+    }
+    if (inShare || this->IsUrgent(aSummary, distance, aCriteria)) {
+      reach = { .distance = distance,
+                .reason = inShare ? OverflowReason::kShare : OverflowReason::kUrgent };
+    }
+  }
+  return reach;
+}
+
+std::optional<PeerAddress>
+NodePicker::PickByTime(const Candidates& aCandidates, const Criteria& aCriteria, Time aNow)
+{
+  const std::vector<Rated> rated = this->Rate(aCandidates, aCriteria, aNow);
+  const Summary summary = Summarise(rated);
+  if (aCriteria.tried.empty()) {
+    this->Observe(summary, aCriteria.service, aNow);
+  }
+  const Reach reach = this->ReachOf(summary, aCriteria);
+  const Rated* best = nullptr;
+  double bestCost = 0;
+  for (const Rated& entry : rated) {
+    if (entry.tried || entry.candidate->distance > reach.distance) {
+      continue;
+    }
+    const double cost = entry.cost + this->random.Fraction() * kMaxTieBreakCost;
+    if (best == nullptr || entry.usability < best->usability ||
+        (entry.usability == best->usability && cost < bestCost)) {
+      best = &entry;
+      bestCost = cost;
+    }
+  }
+  if (best == nullptr) {
+    return std::nullopt;
+  }
+  if (best->candidate->distance != Distance::kOwnDomain) {
+    ++this->left[{ best->candidate->distance, reach.reason }];
+  }
+  return best->candidate->address;
+}
+
+void
+NodePicker::Poll(Time aNow, Effects& aEffects)
+{
+  if (!this->options.policy) {
+    return;
+  }
+  this->overflow.Poll(aNow);
+  for (const DomainOverflow::Change& change : this->overflow.TakeChanges()) {
+    const std::string distance(ToText(change.distance));
+    aEffects.push_back(MetricUpdated({ .metric = Metric::kOverflowShare,
+                                       .label = change.service + "/" + distance,
+                                       .value = change.share }));
+    if (change.reported) {
+      AddLogLine(aEffects,
+                 LogEvent::kOverflowShareChanged,
+                 "service=" + change.service + " distance=" + distance +
+                   " share=" + std::to_string(change.share));
+    }
+  }
+  for (const auto& [key, count] : this->left) {
+    aEffects.push_back(MetricUpdated(
+      { .metric = Metric::kOverflowRequests,
+        .label = std::string(ToText(key.first)) + "/" + std::string(ToText(key.second)),
+        .value = static_cast<double>(count) }));
+  }
+  this->left.clear();
+}
+
 void
 NodePicker::NoteSent(const std::string& aNode)
 {
@@ -161,6 +441,9 @@
   record.sentSinceReport = 0;
   record.failures = 0;
   record.excludedUntil = Time{};
+  if (this->options.policy) {
+    this->speed.Note(aNode, aLoad.route, aLoad.expectedTime, aNow);
+  }
 }
 
 void
@@ -177,6 +460,7 @@
 void
 NodePicker::Forget(const std::string& aNode)
 {
+  this->speed.Forget(aNode);
   const std::map<std::string, Record>::iterator found = this->records.find(aNode);
   if (found != this->records.end()) {
     // Candidates refer to the record.
--- a/packages/decisions/mesh/node_picker.h
+++ b/packages/decisions/mesh/node_picker.h
@@ -12,21 +12,35 @@
 // reduces the latency. A node that failed is avoided for a time that doubles with each consecutive
 // failure.
 //
-// Pick is linear in the number of ready targets of the service; SetMembers is linear in the number
-// of members.
+// With a RegionPolicy the cost is the expected time to the response instead: the distance, the wait
+// for a slot and the time that the target takes (see target_speed.h). A request leaves the failure
+// domain only if it belongs to the share that may (see domain_overflow.h), if no target at home is
+// usable, or if it is urgent; Poll then reports shares and requests that left. Without a policy
+// neither class is used, and picks and random numbers are the same as before they existed.
+//
+// Pick is linear in the number of ready targets of the service (times a logarithm with a policy);
+// SetMembers is linear in the number of members.
 #pragma once
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
+#include "decisions/effects.h"
+#include "decisions/mesh/domain_overflow.h"
+#include "decisions/mesh/target_speed.h"
 #include "util/clock.h"
 #include "util/random.h"
 #include "values/generated/common.h"
 #include "values/generated/peer.h"
+#include "values/generated/settings.h"
 
 namespace jackdawwind {
 
@@ -38,6 +52,8 @@
     std::string node;
     std::string domain;
     std::string region;
+    /// Nothing if targets are chosen by distance and load only.
+    std::optional<RegionPolicy> policy = std::nullopt;
   };
 
   using Members = std::map<std::string, Member>;
@@ -50,6 +66,12 @@
     /// Nodes that are not considered.
     const std::set<std::string>& tried;
     std::uint64_t bodyBytes = 0;
+    /// Name of the route; only used with a policy, like the fields below.
+    std::string_view route = {};
+    /// Time left until the deadline.
+    Duration remaining = Duration::max();
+    /// Whether a target makes the request while it runs another one.
+    bool nested = false;
   };
 
   /// Load that a target reported with an answer.
@@ -59,8 +81,14 @@
     std::uint32_t perMille = 0;
     /// 0 if unknown.
     std::uint32_t slots = 0;
+    /// Route of the request, and the mean time that it takes there; zero if unknown.
+    std::string_view route = {};
+    Duration expectedTime{};
   };
 
+  /// Sets the shortest objective of the configuration's routes, from which a policy without a
+  /// minimum gain derives one; zero if there is no objective.
+  void SetShortestObjective(Duration aObjective);
   /// Sets the candidates of all services.
   void SetMembers(const Members& aMembers);
   /// Returns nothing if no untried live node has a ready target of the service. Suspect nodes, and
@@ -74,6 +102,11 @@
   void NoteEnded(const std::string& aNode);
   /// Clears the record of a node that has ended or left.
   void Forget(const std::string& aNode);
+  /// Moves the shares of requests that may leave the domain, and reports them and the requests that
+  /// left.
+  void Poll(Time aNow, Effects& aEffects);
+  /// Time at which Poll is due; Time::max() without a policy or while no request leaves.
+  Time NextWake() const { return this->overflow.NextWake(); }
 
 private:
   /// One of about fifty slots.
@@ -105,14 +138,81 @@
     Record* record = nullptr;
   };
 
+  using Candidates = std::vector<Candidate>;
+
+  /// Order in which candidates are used, before their cost.
+  enum class Usability
+  {
+    kUsable,
+    /// The target is slow and already has a request of this node.
+    kSlowAndBusy,
+    /// The node is suspect or has failed recently.
+    kExcluded,
+  };
+
+  /// A candidate with what a policy weighs.
+  struct Rated
+  {
+    const Candidate* candidate = nullptr;
+    Usability usability = Usability::kUsable;
+    bool tried = false;
+    double load = 0;
+    /// Expected time to the response in milliseconds.
+    double cost = 0;
+  };
+
+  /// Distances to members; the index of an array by distance.
+  static constexpr std::size_t kDistances = 3;
+
+  /// Untried candidates that are not excluded, by distance.
+  struct Summary
+  {
+    /// Lowest cost; infinite if there is none.
+    std::array<double, kDistances> bestCost{};
+    std::array<double, kDistances> loadSum{};
+    std::array<std::size_t, kDistances> count{};
+    /// Whether the own domain has a candidate that is not excluded but was tried.
+    bool triedAtHome = false;
+  };
+
+  /// How far a request may go, and why further than its own domain.
+  struct Reach
+  {
+    Distance distance = Distance::kOwnDomain;
+    OverflowReason reason = OverflowReason::kShare;
+  };
+
   Distance DistanceTo(const Member& aMember) const;
   static double DistanceCost(const Candidate& aCandidate, std::uint64_t aBodyBytes);
   static double CostOf(const Candidate& aCandidate, std::uint64_t aBodyBytes, Time aNow);
+  std::optional<PeerAddress> PickByDistance(const Candidates& aCandidates,
+                                            const Criteria& aCriteria,
+                                            Time aNow);
+  std::optional<PeerAddress> PickByTime(const Candidates& aCandidates,
+                                        const Criteria& aCriteria,
+                                        Time aNow);
+  /// Cost of the distance in milliseconds with the weights of the policy.
+  double PolicyDistanceCost(const Candidate& aCandidate, std::uint64_t aBodyBytes) const;
+  std::vector<Rated> Rate(const Candidates& aCandidates,
+                          const Criteria& aCriteria,
+                          Time aNow) const;
+  static Summary Summarise(const std::vector<Rated>& aRated);
+  /// Passes the comparison at each boundary on to overflow.
+  void Observe(const Summary& aSummary, const std::string& aService, Time aNow);
+  Reach ReachOf(const Summary& aSummary, const Criteria& aCriteria);
+  /// Whether an urgent request should leave to this distance.
+  bool IsUrgent(const Summary& aSummary, Distance aDistance, const Criteria& aCriteria) const;
+  void UpdateMinGains();
 
   Options options;
+  TargetSpeed speed;
+  DomainOverflow overflow;
+  Duration shortestObjective{};
+  /// Requests that left since the last Poll, by distance and reason.
+  std::map<std::pair<Distance, OverflowReason>, std::uint64_t> left;
   Random random;
   std::map<std::string, Record> records;
-  std::map<std::string, std::vector<Candidate>> candidatesByService;
+  std::map<std::string, Candidates> candidatesByService;
 };
 
 } // namespace jackdawwind
--- a/packages/node/http_headers.h
+++ b/packages/node/http_headers.h
@@ -29,6 +29,7 @@
 constexpr const char* kLevelHeader = "X-Jackdaw-Level";
 constexpr const char* kLoadHeader = "X-Jackdaw-Load";
 constexpr const char* kSlotsHeader = "X-Jackdaw-Slots";
+constexpr const char* kExpectedTimeHeader = "X-Jackdaw-Expected-Us";
 constexpr const char* kContextHeader = "X-Jackdaw-Context";
 constexpr const char* kSealHeader = "X-Jackdaw-Seal";
 
--- a/packages/node/main.cc
+++ b/packages/node/main.cc
@@ -103,10 +103,14 @@
     "platform", "Run on the platform, with the settings file that the platform provides")(
     "platform-settings",
     "Settings file of the platform; default: the path in JACKDAWWIND_SETTINGS",
+    cxxopts::value<std::string>()->default_value(""))(
+    "policy",
+    "YAML file with the policy of each region, for a node on the platform; default: none",
     cxxopts::value<std::string>()->default_value(""))("help", "Show this text");
   const cxxopts::ParseResult arguments = options.parse(aCount, aArguments);
   if (arguments.count("platform") > 0) {
-    return adapter::RunOnPlatform(arguments["platform-settings"].as<std::string>());
+    return adapter::RunOnPlatform({ .settings = arguments["platform-settings"].as<std::string>(),
+                                    .policy = arguments["policy"].as<std::string>() });
   }
   if (arguments.count("help") > 0 || arguments.count("settings") == 0) {
     std::cout << options.help();
--- a/packages/node/mesh_io.cc
+++ b/packages/node/mesh_io.cc
@@ -507,7 +507,8 @@
                        .code = result->code,
                        .run = result->run,
                        .load = result->load,
-                       .slots = result->slots });
+                       .slots = result->slots,
+                       .expectedTime = result->expectedTime });
 }
 
 void
@@ -545,7 +546,8 @@
                       PeerResult{ .code = ResultCode::kOk,
                                   .run = RunState::kRan,
                                   .load = aEffect.Load(),
-                                  .slots = aEffect.Slots() });
+                                  .slots = aEffect.Slots(),
+                                  .expectedTime = aEffect.ExpectedTime() });
     }
     exchange.connection->Respond(
       std::move(answer.response), std::move(answer.reservation), this->AfterAnswerTo(exchange));
@@ -569,7 +571,8 @@
                       PeerResult{ .code = aEffect.Code(),
                                   .run = aEffect.Run(),
                                   .load = aEffect.Load(),
-                                  .slots = aEffect.Slots() });
+                                  .slots = aEffect.Slots(),
+                                  .expectedTime = aEffect.ExpectedTime() });
     } else {
       response = this->frontEnd.writeRejection(aEffect, exchange.requestId);
     }
--- a/packages/node/peer_exchange.cc
+++ b/packages/node/peer_exchange.cc
@@ -85,6 +85,9 @@
   if (aResult.slots > 0) {
     aResponse.set(kSlotsHeader, std::to_string(aResult.slots));
   }
+  if (aResult.expectedTime > Duration::zero()) {
+    aResponse.set(kExpectedTimeHeader, std::to_string(aResult.expectedTime.count()));
+  }
 }
 
 std::optional<PeerResult>
@@ -104,7 +107,8 @@
   }
   // Absent in answers of earlier versions.
   const std::uint32_t slots = NumberField(aResponse, kSlotsHeader).value_or(0);
-  return PeerResult{ *code, *run, *unused, *level, *load, slots };
+  const Duration expectedTime(NumberField(aResponse, kExpectedTimeHeader).value_or(0));
+  return PeerResult{ *code, *run, *unused, *level, *load, slots, expectedTime };
 }
 
 void
--- a/packages/node/peer_exchange.h
+++ b/packages/node/peer_exchange.h
@@ -11,6 +11,7 @@
 
 #include "node/http_headers.h"
 #include "node/net.h"
+#include "util/clock.h"
 #include "values/generated/calls.h"
 
 namespace jackdawwind::node {
@@ -36,6 +37,8 @@
   std::uint32_t load = 0;
   /// Slots of the target; 0 if the answering node does not state them.
   std::uint32_t slots = 0;
+  /// Mean time that the route takes at the target; 0 if the answering node does not state it.
+  Duration expectedTime{};
 
   friend bool operator==(const PeerResult&, const PeerResult&) = default;
 };
--- a/packages/wire/yaml.cc
+++ b/packages/wire/yaml.cc
@@ -440,6 +440,36 @@
   return DiscardLines(ParseLocated<NodeSettings>(aText, aFile));
 }
 
+YamlResult<NodePolicy>
+ParseNodePolicy(const std::string& aText, const std::string& aFile)
+{
+  const LocatedResult<NodePolicy> parsed = ParseLocated<NodePolicy>(aText, aFile);
+  if (const YamlError* error = std::get_if<YamlError>(&parsed)) {
+    return *error;
+  }
+  const LocatedValue<NodePolicy>& file = std::get<LocatedValue<NodePolicy>>(parsed);
+  const std::vector<RegionPolicy>& regions = file.value.Regions();
+  std::set<std::string> seen;
+  for (std::size_t index = 0; index < regions.size(); ++index) {
+    if (!seen.insert(regions[index].Region()).second) {
+      return file.lines.Locate({ "regions[" + std::to_string(index) + "].region",
+                                 "each region at most once",
+                                 "a duplicate" });
+    }
+  }
+  return file.value;
+}
+
+YamlResult<NodePolicy>
+LoadNodePolicy(const std::string& aPath)
+{
+  const YamlResult<std::string> text = ReadFile(aPath);
+  if (const YamlError* error = std::get_if<YamlError>(&text)) {
+    return *error;
+  }
+  return ParseNodePolicy(std::get<std::string>(text), aPath);
+}
+
 YamlResult<ConfigurationFile>
 ParseConfigurationFile(const std::string& aText, const std::string& aFile)
 {
--- a/packages/wire/yaml.h
+++ b/packages/wire/yaml.h
@@ -34,6 +34,12 @@
 /// Parses the settings of a node from text; errors name aFile.
 YamlResult<NodeSettings> ParseNodeSettings(const std::string& aText, const std::string& aFile);
 
+/// Parses a policy file from text; errors name aFile. Two entries for a region are an error.
+YamlResult<NodePolicy> ParseNodePolicy(const std::string& aText, const std::string& aFile);
+
+/// Loads a policy file.
+YamlResult<NodePolicy> LoadNodePolicy(const std::string& aPath);
+
 /// Parses one configuration file from text; errors name aFile.
 YamlResult<ConfigurationFile> ParseConfigurationFile(const std::string& aText,
                                                      const std::string& aFile);
