--- a/packages/decisions/tests/domain_overflow_test.cc
+++ b/packages/decisions/tests/domain_overflow_test.cc
@@ -129,6 +129,7 @@
   fleet.SetRate("apapa", 60);
   fleet.Advance(seconds(10));
   const std::size_t settled = fleet.Log().size();
+  const std::size_t moves = fleet.SharesOf("ikeja0").size();
   fleet.Advance(seconds(20));
   double left = 0;
   double late = 0;
@@ -144,6 +145,12 @@
   EXPECT_GT(left / all, 0.25);
   EXPECT_LT(left / all, 0.5);
   EXPECT_LT(late / all, 0.02);
+  // With full steps whatever the gain, the share swings between 0 and 0.9.
+  const std::vector<double>& shares = fleet.SharesOf("ikeja0");
+  ASSERT_GT(moves, 0U);
+  const auto first = shares.begin() + static_cast<std::ptrdiff_t>(moves) - 1;
+  const auto range = std::minmax_element(first, shares.end());
+  EXPECT_LT(*range.second - *range.first, 0.5);
 }
 
 TEST(DomainOverflowFleet, StaysAtHomeWhileThereIsRoom)
--- a/packages/decisions/tests/fake_targets.h
+++ b/packages/decisions/tests/fake_targets.h
@@ -92,8 +92,8 @@
   void SetRate(const std::string& aDomain, double aRate) { this->rates[aDomain] = aRate; }
   Target& TargetAt(const std::string& aNode) { return this->targets.at(aNode); }
   const std::vector<Done>& Log() const { return this->log; }
-  /// Shares of the first entry node that may leave its domain, in the order of their changes.
-  const std::vector<double>& Shares() const { return this->shares; }
+  /// Shares of an entry node's requests that may leave its domain, in the order of their changes.
+  const std::vector<double>& SharesOf(const std::string& aNode) { return this->shares[aNode]; }
   Time Now() const { return this->now; }
 
   void Advance(Duration aTime)
@@ -139,8 +139,8 @@
     entry.picker->Poll(this->now, effects);
     for (const Effect& effect : effects) {
       const MetricUpdated* update = std::get_if<MetricUpdated>(&effect);
-      if (aEntry == 0 && update != nullptr && update->GetMetric() == Metric::kOverflowShare) {
-        this->shares.push_back(update->Value());
+      if (update != nullptr && update->GetMetric() == Metric::kOverflowShare) {
+        this->shares[entry.node].push_back(update->Value());
       }
     }
   }
@@ -189,7 +189,7 @@
   std::map<std::string, Target> targets;
   std::map<std::string, double> rates;
   std::vector<Done> log;
-  std::vector<double> shares;
+  std::map<std::string, std::vector<double>> shares;
 };
 
 } // namespace jackdawwind
--- a/packages/decisions/tests/target_speed_test.cc
+++ b/packages/decisions/tests/target_speed_test.cc
@@ -8,6 +8,7 @@
 
 #include <gtest/gtest.h>
 
+#include "decisions/mesh/local_target.h"
 #include "decisions/tests/fake_targets.h"
 #include "decisions/tests/test_seed.h"
 #include "util/random.h"
@@ -62,6 +63,48 @@
   EXPECT_EQ(times.Mean("read"), milliseconds(160)) << "one fast answer after a pause";
 }
 
+TEST(RouteTimes, AreStatedWithEachAnswerOfTheLocalTarget)
+{
+  LocalTarget target;
+  Effects effects;
+  Time now{ seconds(100) };
+  target.Receive(TargetHeartbeat({ .instance = "i1",
+                                   .host = "10.0.0.1",
+                                   .port = 80,
+                                   .service = "fuel",
+                                   .state = TargetState::kReady,
+                                   .slots = 4,
+                                   .sequence = 1,
+                                   .startedAtMs = 1 }),
+                 now,
+                 effects);
+  const auto answer = [&](std::uint64_t aExchange, std::uint32_t aStatus, Duration aTook) {
+    target.Offer({ .exchange = aExchange,
+                   .requestId = "r",
+                   .context = HopContext({ .routeName = "read", .service = "fuel" }),
+                   .deadline = now + seconds(5) },
+                 now,
+                 effects);
+    now += aTook;
+    effects.clear();
+    target.Receive(SendEnded({ .exchange = aExchange,
+                               .attempt = 1,
+                               .outcome = TargetReplied({ .status = aStatus, .genuine = true }) }),
+                   now,
+                   effects);
+    const RelayReply* reply = std::get_if<RelayReply>(&effects.front());
+    return reply == nullptr ? Duration(-1) : reply->ExpectedTime();
+  };
+  EXPECT_EQ(answer(1, 200, milliseconds(160)), milliseconds(160));
+  EXPECT_EQ(answer(2, 500, milliseconds(1)), milliseconds(160)) << "a quick failure is no speed";
+  target.Refuse({ .exchange = 3, .requestId = "r", .context = HopContext({ .routeName = "read" }) },
+                ResultCode::kNodeDraining,
+                effects);
+  const RejectRequest* refusal = std::get_if<RejectRequest>(&effects.back());
+  ASSERT_NE(refusal, nullptr);
+  EXPECT_EQ(refusal->ExpectedTime(), milliseconds(160));
+}
+
 TEST(TargetSpeed, FadesToTheMeanOfTheOthersAndStaysSlow)
 {
   TargetSpeed speed;
--- a/packages/node/tests/proxy_io_test.cc
+++ b/packages/node/tests/proxy_io_test.cc
@@ -237,6 +237,21 @@
   EXPECT_EQ(ReadPeerResult(*answer), (PeerResult{ ResultCode::kOk, RunState::kRan, 1, 2, 3 }));
 }
 
+// Guards against a time that is lost between nodes, and against answers of earlier versions that
+// are no longer read.
+TEST(PeerExchange, StatesTheExpectedTimeIfItIsKnown)
+{
+  for (const Duration expected : { Duration::zero(), Duration(160'000) }) {
+    const PeerResult result{
+      .code = ResultCode::kOk, .run = RunState::kRan, .slots = 8, .expectedTime = expected
+    };
+    HttpResponse response;
+    WritePeerResult(response, result);
+    EXPECT_EQ(response.count(kExpectedTimeHeader), expected > Duration::zero() ? 1U : 0U);
+    EXPECT_EQ(ReadPeerResult(response), result);
+  }
+}
+
 class FullRingFixture : public ProxyFixture
 {
 protected:
--- a/packages/wire/tests/yaml_test.cc
+++ b/packages/wire/tests/yaml_test.cc
@@ -74,6 +74,32 @@
   }
 }
 
+// Guards against a policy that applies in part, or with values other than those in the file.
+TEST(Yaml, PolicyEntriesHaveDefaultsAndAreChecked)
+{
+  const YamlResult<NodePolicy> read =
+    ParseNodePolicy("regions:\n  - region: lagos\n    min_gain: 60\n  - region: kano\n", "p.yaml");
+  ASSERT_TRUE(std::holds_alternative<NodePolicy>(read));
+  EXPECT_EQ(
+    std::get<NodePolicy>(read).Regions(),
+    (std::vector<RegionPolicy>{
+      RegionPolicy({ .region = "lagos", .minGain = std::chrono::milliseconds(60) }),
+      RegionPolicy({ .region = "kano", .bytesWeight = 0.5, .otherRegionBytesWeight = 8 }) }));
+  const std::pair<const char*, const char*> invalid[] = {
+    { "regions:\n  - region: lagos\n  - region: lagos\n",
+      "p.yaml:3: regions[1].region: expected each region at most once, found a duplicate" },
+    { "regions:\n  - {region: lagos, min_gain: -1}\n",
+      "p.yaml:2: regions[0].min_gain: expected a value from 0 to 600000, found -1" },
+    { "regions:\n  - {region: lagos, mingain: 5}\n",
+      "p.yaml:2: regions[0].mingain: expected no field of this name, found a value" },
+  };
+  for (const auto& [text, expected] : invalid) {
+    const YamlResult<NodePolicy> result = ParseNodePolicy(text, "p.yaml");
+    ASSERT_TRUE(std::holds_alternative<YamlError>(result)) << text;
+    EXPECT_EQ(Describe(std::get<YamlError>(result)), expected);
+  }
+}
+
 TEST(Yaml, ResolvesScalarsByTheCoreSchema)
 {
   const YamlResult<ConfigurationFile> result =
