--- a/packages/node/mesh_io.cc
+++ b/packages/node/mesh_io.cc
@@ -511,7 +511,8 @@
                        .code = result->code,
                        .run = result->run,
                        .load = result->load,
-                       .slots = result->slots });
+                       .slots = result->slots,
+                       .expectedTime = result->expectedTime });
 }
 
 void
@@ -549,7 +550,8 @@
                       PeerResult{ .code = ResultCode::kOk,
                                   .run = RunState::kRan,
                                   .load = aEffect.Load(),
-                                  .slots = aEffect.Slots() });
+                                  .slots = aEffect.Slots(),
+                                  .expectedTime = aEffect.ExpectedTime() });
     }
     exchange.connection->RespondTo(aEffect.Exchange(),
                                    std::move(answer.response),
@@ -575,7 +577,8 @@
                       PeerResult{ .code = aEffect.Code(),
                                   .run = aEffect.Run(),
                                   .load = aEffect.Load(),
-                                  .slots = aEffect.Slots() });
+                                  .slots = aEffect.Slots(),
+                                  .expectedTime = aEffect.ExpectedTime() });
     } else {
       response = this->frontEnd.writeRejection(aEffect, exchange.requestId);
     }
