Serve requests only in the regions that routes and organisations allow

Ruled out: a check only at the entry node, since a hop of a node with another configuration would pass.

Change: Residency holds the regions of a request, those in both lists if there are two. HopContext carries the regions and the node beside the target refuses what its region does not allow. Without a list nothing changes, and the picker draws the same random numbers.

--- a/packages/decisions/mesh/entry_requests.cc
+++ b/packages/decisions/mesh/entry_requests.cc
@@ -114,11 +114,12 @@
     return ResultCode::kUnknownRoute;
   }
   Request request;
+  const MeshOrganisation* organisation = nullptr;
   if (table->NeedsKeys() && !route->Open()) {
     if (!aArrived.GetKeyHash()) {
       return ResultCode::kMissingKey;
     }
-    const MeshOrganisation* organisation = table->FindOrganisationByKey(*aArrived.GetKeyHash());
+    organisation = table->FindOrganisationByKey(*aArrived.GetKeyHash());
     if (organisation == nullptr) {
       return ResultCode::kUnknownKey;
     }
@@ -128,6 +129,7 @@
   request.exchange = aArrived.Exchange();
   request.id = aArrived.RequestId();
   request.route = *route;
+  request.residency = Residency::Of(*route, organisation);
   request.bodyBytes = aArrived.BodyBytes();
   request.service = this->modules.splits.Choose(*route);
   request.arrived = aNow;
@@ -176,10 +178,20 @@
   aRequest->second.hasToken = !aRequest->second.organisation.empty();
   this->modules.budget.NoteRequest(aRequest->second.service);
   if (!this->Send(aRequest, aNow, aEffects)) {
-    this->FinishRejected(aRequest, ResultCode::kNoTarget, RunState::kNotRun, aNow, aEffects);
+    const ResultCode code = this->modules.picker.AbsenceCode(this->CriteriaOf(aRequest->second));
+    this->FinishRejected(aRequest, code, RunState::kNotRun, aNow, aEffects);
   }
 }
 
+NodePicker::Criteria
+EntryRequests::CriteriaOf(const Request& aRequest) const
+{
+  return { .service = aRequest.service,
+           .tried = aRequest.tried,
+           .bodyBytes = aRequest.bodyBytes,
+           .residency = aRequest.residency };
+}
+
 bool
 EntryRequests::Send(Requests::iterator aRequest, Time aNow, Effects& aEffects)
 {
@@ -188,8 +200,8 @@
   if (remaining < kMinSendTime) {
     return false;
   }
-  const std::optional<PeerAddress> peer = this->modules.picker.Pick(
-    { .service = request.service, .tried = request.tried, .bodyBytes = request.bodyBytes }, aNow);
+  const std::optional<PeerAddress> peer =
+    this->modules.picker.Pick(this->CriteriaOf(request), aNow);
   if (!peer) {
     return false;
   }
@@ -204,7 +216,8 @@
                        .callerService = this->options.service,
                        .rank = request.rank,
                        .idempotent = IsIdempotent(request.route),
-                       .remaining = remaining });
+                       .remaining = remaining,
+                       .allowedRegions = request.residency.Regions() });
   if (peer->Node() == this->options.node) {
     this->modules.target.Offer({ .exchange = request.exchange,
                                  .attempt = request.attempt,
--- a/packages/decisions/mesh/entry_requests.h
+++ b/packages/decisions/mesh/entry_requests.h
@@ -25,6 +25,7 @@
 #include "decisions/mesh/node_picker.h"
 #include "decisions/mesh/quota_pool.h"
 #include "decisions/mesh/repeat_budget.h"
+#include "decisions/mesh/residency.h"
 #include "decisions/mesh/split_chooser.h"
 #include "util/clock.h"
 #include "util/random.h"
@@ -88,6 +89,7 @@
     std::string service;
     std::string organisation;
     std::uint32_t rank = 0;
+    Residency residency;
     std::uint64_t bodyBytes = 0;
     Time arrived{};
     Time deadline{};
@@ -124,6 +126,7 @@
   bool MayBeNestedCall(const RouteTable& aTable, const MeshRoute* aRoute) const;
   void AcquireToken(Requests::iterator aRequest, Time aNow, Effects& aEffects);
   void SendFirst(Requests::iterator aRequest, Time aNow, Effects& aEffects);
+  NodePicker::Criteria CriteriaOf(const Request& aRequest) const;
   /// Returns false if no target is left to try or too little time remains.
   bool Send(Requests::iterator aRequest, Time aNow, Effects& aEffects);
   void HandleAnswer(Requests::iterator aRequest,
--- a/packages/decisions/mesh/mesh_core.cc
+++ b/packages/decisions/mesh/mesh_core.cc
@@ -12,6 +12,7 @@
 #include "decisions/membership/membership.h"
 #include "decisions/mesh/departed_targets.h"
 #include "decisions/mesh/entry_requests.h"
+#include "decisions/mesh/residency.h"
 #include "decisions/mesh/store_readers.h"
 
 namespace jackdawwind {
@@ -133,6 +134,8 @@
                                         .deadline = aNow + aEvent.Context().Remaining() };
     if (this->shutdown.RefusesNewRequests(aNow)) {
       this->target.Refuse(request, ResultCode::kNodeDraining, aEffects);
+    } else if (!Residency(aEvent.Context().AllowedRegions()).Allows(this->options.region)) {
+      this->target.Refuse(request, ResultCode::kNoAllowedRegion, aEffects);
     } else {
       this->target.Offer(request, aNow, aEffects);
     }
--- a/packages/decisions/mesh/node_picker.cc
+++ b/packages/decisions/mesh/node_picker.cc
@@ -65,6 +65,7 @@
         { .address = member.Address(),
           .isSelf = entry.first == this->options.node,
           .distance = this->DistanceTo(member),
+          .region = member.Region(),
           .suspect = suspect,
           .record = &this->records[entry.first] });
     }
@@ -116,6 +117,9 @@
     if (!aCriteria.tried.empty() && aCriteria.tried.contains(candidate.address.Node())) {
       continue;
     }
+    if (!aCriteria.residency.Allows(candidate.region)) {
+      continue;
+    }
     // Excluded and suspect nodes are selected only if there is no other candidate.
     const bool excluded = candidate.suspect || candidate.record->excludedUntil > aNow;
     const double cost =
@@ -133,6 +137,21 @@
   return best->address;
 }
 
+ResultCode
+NodePicker::AbsenceCode(const Criteria& aCriteria) const
+{
+  const std::map<std::string, std::vector<Candidate>>::const_iterator found =
+    this->candidatesByService.find(aCriteria.service);
+  if (found == this->candidatesByService.end()) {
+    return ResultCode::kNoTarget;
+  }
+  const bool allowed = std::any_of(
+    found->second.begin(), found->second.end(), [&aCriteria](const Candidate& aCandidate) {
+      return aCriteria.residency.Allows(aCandidate.region);
+    });
+  return allowed ? ResultCode::kNoTarget : ResultCode::kNoAllowedRegion;
+}
+
 void
 NodePicker::NoteSent(const std::string& aNode)
 {
--- a/packages/decisions/mesh/node_picker.h
+++ b/packages/decisions/mesh/node_picker.h
@@ -10,7 +10,7 @@
 // load and the requests sent to it since; the candidate with the lowest cost is selected. Near
 // targets are used until they are busy, so traffic crosses domains and regions only when that
 // reduces the latency. A node that failed is avoided for a time that doubles with each consecutive
-// failure.
+// failure. Targets outside the regions in which a request may be served are never selected.
 //
 // Pick is linear in the number of ready targets of the service; SetMembers is linear in the number
 // of members.
@@ -23,10 +23,12 @@
 #include <string>
 #include <vector>
 
+#include "decisions/mesh/residency.h"
 #include "util/clock.h"
 #include "util/random.h"
 #include "values/generated/common.h"
 #include "values/generated/peer.h"
+#include "values/generated/results.h"
 
 namespace jackdawwind {
 
@@ -50,6 +52,8 @@
     /// Nodes that are not considered.
     const std::set<std::string>& tried;
     std::uint64_t bodyBytes = 0;
+    /// Regions in which the request may be served.
+    const Residency& residency = kAnyRegion;
   };
 
   /// Load that a target reported with an answer.
@@ -66,6 +70,8 @@
   /// Returns nothing if no untried live node has a ready target of the service. Suspect nodes, and
   /// nodes that failed recently, are selected only if there is no other candidate.
   std::optional<PeerAddress> Pick(const Criteria& aCriteria, Time aNow);
+  /// Reason why Pick returned nothing.
+  ResultCode AbsenceCode(const Criteria& aCriteria) const;
   void NoteSent(const std::string& aNode);
   void NoteAnswer(const std::string& aNode, const Load& aLoad, Time aNow);
   /// Notes that the connection failed or broke.
@@ -76,6 +82,7 @@
   void Forget(const std::string& aNode);
 
 private:
+  inline static const Residency kAnyRegion;
   /// One of about fifty slots.
   static constexpr double kDefaultLoadPerRequest = 0.02;
 
@@ -100,6 +107,7 @@
     PeerAddress address;
     bool isSelf = false;
     Distance distance = Distance::kUnknown;
+    std::string region;
     bool suspect = false;
     /// Element of records.
     Record* record = nullptr;
