Limit requests to cold targets and follow evacuation orders

The operator's records evacuate/DOMAIN were not read.

Ruled out: a limit on running requests (does not bound the rate); shares of the rate at entry nodes (they do not know the state in time); orders within the configuration (they have no version, and the store's offset orders them).

Change, cold targets: ColdStartLimiter in LocalTarget bounds the starts of all requests to cold_per_s with a burst of 2. The others wait in the scheduler's queue, whose expected wait and load count the limit. Log events 307 and 308, counter cold_limited_total.

Change, evacuation: StoreClient reads the orders from all newest pages and from polls. Evacuation merges them by era and offset; peers pass them on, and a hash in probes and store contacts finds what was lost. The picker skips the domain (215, 503, not run, if nothing else is left), the node beside a target there refuses what arrives and waits. Log events 309 and 310, gauge evacuated_domains.

Both are in one commit because they share schema files and LocalTarget, and each schema change rebuilds most of the tree.

Tests changed: StoreRecords.DecodeEncodedRecordsAndRejectTruncatedBytes expects the offset of the item too, since KeyedRecord has gained it; FakeStore states offsets of newest items, which were 0.

Tests: ColdStart.* (5), Evacuation.* (5), StoreClientTest.ReadsEvacuationOrdersFromPagesAndPolls; 67 tests of decisions_test around MeshCore and 22 of adapter_test around the adapter pass.

--- a/packages/decisions/membership/membership.cc
+++ b/packages/decisions/membership/membership.cc
@@ -520,6 +520,7 @@
                                   .sender = this->options.self.Address(),
                                   .tableHash = this->table.Hash(),
                                   .configOffset = this->configOffset,
+                                  .evacuationHash = this->evacuationHash,
                                   .changes = this->ChangesFor(aTo.Node(), aWithSelf) }) }));
 }
 
@@ -535,6 +536,7 @@
                                                       .subject = aSubject,
                                                       .tableHash = this->table.Hash(),
                                                       .configOffset = this->configOffset,
+                                                      .evacuationHash = this->evacuationHash,
                                                       .changes = std::move(aChanges) }) }));
 }
 
--- a/packages/decisions/mesh/configuration_gossip.cc
+++ b/packages/decisions/mesh/configuration_gossip.cc
@@ -38,16 +38,21 @@
   if (this->requestedVersion <= this->Version()) {
     this->behindSince = Time::max();
   }
-  this->Offer(aMembers, aEffects);
+  for (const PeerAddress& peer : this->ChoosePeers(aMembers)) {
+    aEffects.push_back(SendPeer(
+      { .to = peer,
+        .message = MeshConfigOffer({ .sender = this->self, .version = this->Version() }) }));
+  }
   return true;
 }
 
-void
-ConfigurationGossip::Offer(const Members& aMembers, Effects& aEffects)
+std::vector<PeerAddress>
+ConfigurationGossip::ChoosePeers(const Members& aMembers)
 {
+  std::vector<PeerAddress> chosen;
   const Members::const_iterator own = aMembers.find(this->self.Node());
   if (own == aMembers.end()) {
-    return;
+    return chosen;
   }
   std::vector<PeerAddress> ownDomain;
   std::vector<PeerAddress> ownRegion;
@@ -66,20 +71,21 @@
     }
   }
   // Offers that a distance has no peers for go to the next one.
-  std::size_t left = this->OfferTo(std::move(ownDomain), kOwnDomainOffers, aEffects);
-  left = this->OfferTo(std::move(ownRegion), kOwnRegionOffers + left, aEffects);
-  this->OfferTo(std::move(otherRegion), kOtherRegionOffers + left, aEffects);
+  std::size_t left = this->ChooseFrom(std::move(ownDomain), kOwnDomainOffers, chosen);
+  left = this->ChooseFrom(std::move(ownRegion), kOwnRegionOffers + left, chosen);
+  this->ChooseFrom(std::move(otherRegion), kOtherRegionOffers + left, chosen);
+  return chosen;
 }
 
 std::size_t
-ConfigurationGossip::OfferTo(std::vector<PeerAddress> aPeers, std::size_t aCount, Effects& aEffects)
+ConfigurationGossip::ChooseFrom(std::vector<PeerAddress> aPeers,
+                                std::size_t aCount,
+                                std::vector<PeerAddress>& aChosen)
 {
   std::size_t left = aCount;
   while (left > 0 && !aPeers.empty()) {
     const std::size_t index = this->random.Below(aPeers.size());
-    aEffects.push_back(SendPeer(
-      { .to = aPeers[index],
-        .message = MeshConfigOffer({ .sender = this->self, .version = this->Version() }) }));
+    aChosen.push_back(aPeers[index]);
     aPeers.erase(aPeers.begin() + static_cast<std::ptrdiff_t>(index));
     --left;
   }
--- a/packages/decisions/mesh/configuration_gossip.h
+++ b/packages/decisions/mesh/configuration_gossip.h
@@ -39,6 +39,9 @@
   /// Sends the configuration to the requesting peer if it is newer than the peer's.
   void Receive(const MeshConfigWant& aWant, Effects& aEffects) const;
 
+  /// Random alive peers, most of them near, to which a change is offered.
+  std::vector<PeerAddress> ChoosePeers(const Members& aMembers);
+
   /// Whether a peer has had a newer version for kBehindTime, which this node did not get from it.
   bool IsBehind(Time aNow) const;
 
@@ -51,10 +54,10 @@
   /// Several times as long as a peer takes to answer a request.
   static constexpr Duration kBehindTime = std::chrono::milliseconds(500);
 
-  /// Sends an offer of the current version to random alive peers.
-  void Offer(const Members& aMembers, Effects& aEffects);
-  /// Sends offers to up to aCount of the peers; returns how many are left over.
-  std::size_t OfferTo(std::vector<PeerAddress> aPeers, std::size_t aCount, Effects& aEffects);
+  /// Adds up to aCount random ones of the peers to aChosen; returns how many are left over.
+  std::size_t ChooseFrom(std::vector<PeerAddress> aPeers,
+                         std::size_t aCount,
+                         std::vector<PeerAddress>& aChosen);
 
   PeerAddress self;
   Random random;
--- a/packages/decisions/mesh/local_target.cc
+++ b/packages/decisions/mesh/local_target.cc
@@ -24,14 +24,61 @@
 bool
 LocalTarget::AcceptsRequests(Time aNow) const
 {
-  return this->registration.State() == TargetState::kReady && aNow >= this->unreachableUntil;
+  return this->registration.State() == TargetState::kReady && !this->evacuated &&
+         aNow >= this->unreachableUntil;
 }
 
 ResultCode
 LocalTarget::UnavailableCode() const
 {
-  return this->registration.State() == TargetState::kDraining ? ResultCode::kTargetDraining
-                                                              : ResultCode::kNoTarget;
+  const bool leaving = this->evacuated || this->registration.State() == TargetState::kDraining;
+  return leaving ? ResultCode::kTargetDraining : ResultCode::kNoTarget;
+}
+
+void
+LocalTarget::Configure(const MeshConfiguration& aConfiguration, Time aNow)
+{
+  this->coldStart.Configure(aConfiguration.ColdStarts(), aNow);
+}
+
+void
+LocalTarget::SetEvacuated(bool aEvacuated, Effects& aEffects)
+{
+  this->evacuated = aEvacuated;
+  if (aEvacuated) {
+    this->RefuseWaiting(aEffects);
+  }
+}
+
+void
+LocalTarget::UpdateStartLimit(Time aNow)
+{
+  this->scheduler.SetStartLimit(
+    { .closed = !this->coldStart.MayStart(aNow), .interval = this->coldStart.Interval(aNow) });
+}
+
+void
+LocalTarget::LogColdState(Time aNow, Effects& aEffects)
+{
+  const bool cold = this->coldStart.IsCold(aNow);
+  if (cold == this->loggedCold) {
+    return;
+  }
+  this->loggedCold = cold;
+  if (cold) {
+    this->limitedRequests = 0;
+    const Duration left = this->coldStart.ColdUntil() - aNow;
+    AddLogLine(aEffects,
+               LogEvent::kTargetCold,
+               "service=" + this->registration.Service() +
+                 " cold_us=" + std::to_string(left.count()) +
+                 " interval_us=" + std::to_string(this->coldStart.Interval(aNow).count()));
+  } else {
+    AddLogLine(aEffects,
+               LogEvent::kTargetWarm,
+               "service=" + this->registration.Service() +
+                 " limited=" + std::to_string(this->limitedRequests));
+  }
 }
 
 void
@@ -50,6 +97,12 @@
     .arrived = aNow,
     .deadline = entry.request.deadline,
   };
+  this->UpdateStartLimit(aNow);
+  if (this->scheduler.IsStartClosed()) {
+    ++this->limitedRequests;
+    aEffects.push_back(MetricUpdated(
+      { .metric = Metric::kColdLimitedTotal, .label = this->registration.Service(), .value = 1 }));
+  }
   switch (this->scheduler.Offer(waiting, aNow)) {
     case TargetScheduler::Verdict::kRun:
       this->Run(this->requests[aRequest.exchange] = std::move(entry), aNow, aEffects);
@@ -69,6 +122,8 @@
 {
   aEntry.running = true;
   aEntry.startedAt = aNow;
+  this->coldStart.NoteStart(aNow);
+  this->UpdateStartLimit(aNow);
   const TargetHeartbeat& target = *this->registration.Current();
   const HopContext& context = aEntry.request.context;
   aEffects.push_back(CallTarget({
@@ -87,6 +142,7 @@
 void
 LocalTarget::RunWaiting(Time aNow, Effects& aEffects)
 {
+  this->UpdateStartLimit(aNow);
   if (!this->AcceptsRequests(aNow)) {
     return;
   }
@@ -115,7 +171,7 @@
                              .code = aCode,
                              .run = RunState::kNotRun,
                              .load = this->scheduler.LoadPerMille(),
-                             .slots = this->scheduler.Slots() });
+                             .slots = this->scheduler.Capacity() });
   if (!aRequest.local) {
     AddLogLine(aEffects,
                LogEvent::kHopRefused,
@@ -198,7 +254,8 @@
       return this->Make(ResultCode::kAttemptTimedOut, RunState::kUnknown);
     }
   };
-  return std::visit(Visitor{ this->scheduler.LoadPerMille(), this->scheduler.Slots() }, aOutcome);
+  return std::visit(Visitor{ this->scheduler.LoadPerMille(), this->scheduler.Capacity() },
+                    aOutcome);
 }
 
 bool
@@ -210,6 +267,7 @@
   }
   const Entry entry = std::move(found->second);
   this->requests.erase(found);
+  this->UpdateStartLimit(aNow);
   const bool answered = std::holds_alternative<TargetReplied>(aEnded.Outcome());
   const HopAnswered answer = this->ToAnswer(aEnded.Outcome());
   const bool ran = answered && answer.Run() == RunState::kRan;
@@ -305,7 +363,7 @@
                                .code = code,
                                .run = entry.running ? RunState::kUnknown : RunState::kNotRun,
                                .load = this->scheduler.LoadPerMille(),
-                               .slots = this->scheduler.Slots() }),
+                               .slots = this->scheduler.Capacity() }),
                  aEffects);
   }
   this->requests.clear();
@@ -333,6 +391,7 @@
                  " born=" + std::to_string(aBeat.StartedAtMs()) + " reason=stale");
     return false;
   }
+  this->coldStart.Receive(aBeat, aNow);
   if (verdict == TargetRegistration::Verdict::kRenewed) {
     return false;
   }
@@ -366,6 +425,7 @@
 bool
 LocalTarget::Poll(Time aNow, Effects& aEffects)
 {
+  this->LogColdState(aNow, aEffects);
   this->RefuseExpired(aNow, aEffects);
   if (aNow >= this->unreachableUntil) {
     this->unreachableUntil = Time{};
@@ -382,10 +442,13 @@
 Time
 LocalTarget::NextWake() const
 {
-  const bool blocked = this->scheduler.WaitingCount() > 0 && this->unreachableUntil > Time{};
+  const bool waiting = this->scheduler.WaitingCount() > 0;
+  const bool blocked = waiting && this->unreachableUntil > Time{};
+  const bool limited = waiting && this->scheduler.IsStartClosed();
   return std::min({ this->scheduler.NextExpiry(),
                     this->registration.LeaseEnd(),
-                    blocked ? this->unreachableUntil : Time::max() });
+                    blocked ? this->unreachableUntil : Time::max(),
+                    limited ? this->coldStart.OpensAt() : Time::max() });
 }
 
 std::vector<LocalTarget::Outcome>
--- a/packages/decisions/mesh/local_target.h
+++ b/packages/decisions/mesh/local_target.h
@@ -10,6 +10,9 @@
 // effects. The outcomes of local requests are returned by TakeOutcomes to the entry side, which may
 // try another target. An outcome is "not run" only if the request was never sent to the target, or
 // if the target states that it did not run it.
+//
+// While the target is cold, ColdStartLimiter bounds the rate at which all kinds of requests start;
+// the others wait. While its failure domain is evacuated, no request starts.
 #pragma once
 
 #include <cstdint>
@@ -18,6 +21,7 @@
 #include <vector>
 
 #include "decisions/effects.h"
+#include "decisions/mesh/cold_start_limiter.h"
 #include "decisions/mesh/target_registration.h"
 #include "decisions/mesh/target_scheduler.h"
 #include "util/clock.h"
@@ -59,6 +63,12 @@
   /// exchange is unknown.
   bool Abandon(std::uint64_t aExchange, Time aNow, Effects& aEffects);
 
+  /// Sets the limits for cold targets.
+  void Configure(const MeshConfiguration& aConfiguration, Time aNow);
+  /// Sets whether the target gets no more requests, because its failure domain is evacuated.
+  /// Waiting requests are rejected; running ones continue.
+  void SetEvacuated(bool aEvacuated, Effects& aEffects);
+
   /// Moves the deadlines of all waiting and future requests to aLatest or earlier, because the node
   /// exits then.
   void LimitDeadlines(Time aLatest);
@@ -100,11 +110,14 @@
 
   using Entries = std::map<std::uint64_t, Entry>;
 
-  /// Whether the target is ready and reachable.
+  /// Whether the target is ready, reachable and not evacuated.
   bool AcceptsRequests(Time aNow) const;
   /// Result code of requests for a target that does not accept them.
   ResultCode UnavailableCode() const;
   void Run(Entry& aEntry, Time aNow, Effects& aEffects);
+  /// Applies the cold start limit as of now to the scheduler.
+  void UpdateStartLimit(Time aNow);
+  void LogColdState(Time aNow, Effects& aEffects);
   void ShortenDeadline(Entry& aEntry, Time aDeadline);
   void RunWaiting(Time aNow, Effects& aEffects);
   /// Rejects the waiting requests that can no longer finish before their deadline.
@@ -117,6 +130,11 @@
 
   TargetRegistration registration;
   TargetScheduler scheduler;
+  ColdStartLimiter coldStart;
+  /// Whether the log says that the target is cold, and the requests limited since.
+  bool loggedCold = false;
+  std::uint64_t limitedRequests = 0;
+  bool evacuated = false;
   Entries requests;
   std::vector<Outcome> outcomes;
   /// No request is sent before this time, because the target refused a connection.
--- a/packages/decisions/mesh/mesh_core.cc
+++ b/packages/decisions/mesh/mesh_core.cc
@@ -12,6 +12,7 @@
 #include "decisions/membership/membership.h"
 #include "decisions/mesh/departed_targets.h"
 #include "decisions/mesh/entry_requests.h"
+#include "decisions/mesh/evacuation.h"
 #include "decisions/mesh/residency.h"
 #include "decisions/mesh/store_readers.h"
 
@@ -181,6 +182,12 @@
   {
     this->Adopt(aEvent.Configuration(), LogEvent::kConfigAccepted, "store", aNow, aEffects);
   }
+  void On(const EvacuationsRead& aEvent, Time /*aNow*/, Effects& aEffects)
+  {
+    if (this->evacuation.Receive(aEvent)) {
+      this->ApplyEvacuations("store", aEffects);
+    }
+  }
   void On(const PeersRead& aEvent, Time aNow, Effects& aEffects)
   {
     std::set<std::string> registered{ this->options.self.Node() };
@@ -194,8 +201,8 @@
   }
   void On(const StoreReached& /*aEvent*/, Time /*aNow*/, Effects& aEffects)
   {
-    for (SendPeer& message :
-         this->storeReaders.Announce(this->options.self, this->configuration.Version())) {
+    for (SendPeer& message : this->storeReaders.Announce(
+           this->options.self, this->configuration.Version(), this->evacuation.Hash())) {
       aEffects.push_back(std::move(message));
     }
   }
@@ -231,6 +238,7 @@
     this->quota.NotePeerMessage(aNow);
     this->membership.Receive(aMessage, aNow, aEffects);
     this->configuration.NoteVersion(aMessage.Sender(), aMessage.ConfigOffset(), aNow, aEffects);
+    this->CompareEvacuations(aMessage.Sender(), aMessage.EvacuationHash(), aEffects);
   }
   void OnPeer(const ProbeAck& aMessage, Time aNow, Effects& aEffects)
   {
@@ -241,6 +249,7 @@
     if (sender != this->membership.Members().end()) {
       this->configuration.NoteVersion(
         sender->second.Address(), aMessage.ConfigOffset(), aNow, aEffects);
+      this->CompareEvacuations(sender->second.Address(), aMessage.EvacuationHash(), aEffects);
     }
   }
   void OnPeer(const ProbeRequest& aMessage, Time aNow, Effects& aEffects)
@@ -260,6 +269,16 @@
   {
     this->storeReaders.Receive(aMessage, aNow);
     this->configuration.NoteVersion(aMessage.Sender(), aMessage.Version(), aNow, aEffects);
+    this->CompareEvacuations(aMessage.Sender(), aMessage.EvacuationHash(), aEffects);
+  }
+  void OnPeer(const EvacuationOrders& aMessage, Time /*aNow*/, Effects& aEffects)
+  {
+    if (this->evacuation.Adopt(aMessage.Orders())) {
+      this->ApplyEvacuations(aMessage.Sender().Node(), aEffects);
+    }
+    if (aMessage.Reply() && aMessage.Orders() != this->evacuation.Orders()) {
+      this->SendEvacuations(aMessage.Sender(), false, aEffects);
+    }
   }
   void OnPeer(const MeshConfigWant& aMessage, Time /*aNow*/, Effects& aEffects)
   {
@@ -317,11 +336,54 @@
                aEvent,
                "version=" + std::to_string(aConfiguration.Version()) +
                  " before=" + std::to_string(before) + " source=" + aSource);
+    this->target.Configure(aConfiguration, aNow);
     this->quota.Configure(*this->configuration.Table(), aNow);
     this->quota.SetMembers(this->membership.Members(), aNow);
     this->membership.SetConfigOffset(this->configuration.Version());
   }
 
+  void SendEvacuations(const PeerAddress& aTo, bool aReply, Effects& aEffects) const
+  {
+    aEffects.push_back(SendPeer({ .to = aTo,
+                                  .message = EvacuationOrders({ .sender = this->options.self,
+                                                                .orders = this->evacuation.Orders(),
+                                                                .reply = aReply }) }));
+  }
+
+  /// Exchanges evacuation orders with a peer that has others.
+  void CompareEvacuations(const PeerAddress& aPeer, std::uint64_t aHash, Effects& aEffects) const
+  {
+    if (aHash != this->evacuation.Hash()) {
+      this->SendEvacuations(aPeer, true, aEffects);
+    }
+  }
+
+  /// Puts changed evacuation orders into force and passes them on.
+  void ApplyEvacuations(const std::string& aSource, Effects& aEffects)
+  {
+    this->membership.SetEvacuationHash(this->evacuation.Hash());
+    for (const PeerAddress& peer : this->configuration.ChoosePeers(this->membership.Members())) {
+      this->SendEvacuations(peer, false, aEffects);
+    }
+    const std::set<std::string>& domains = this->evacuation.Domains();
+    if (domains == this->evacuatedDomains) {
+      return;
+    }
+    for (const EvacuationOrder& order : this->evacuation.Orders()) {
+      if (order.Active() != this->evacuatedDomains.contains(order.GetDomain())) {
+        AddLogLine(aEffects,
+                   order.Active() ? LogEvent::kDomainEvacuated : LogEvent::kEvacuationWithdrawn,
+                   "domain=" + order.GetDomain() + " offset=" + std::to_string(order.Offset()) +
+                     " source=" + aSource);
+      }
+    }
+    this->evacuatedDomains = domains;
+    this->picker.SetEvacuated(domains);
+    this->target.SetEvacuated(domains.contains(this->options.domain), aEffects);
+    aEffects.push_back(MetricUpdated(
+      { .metric = Metric::kEvacuatedDomains, .value = static_cast<double>(domains.size()) }));
+  }
+
   /// Publishes the local target's service and state through the membership.
   void PublishTarget(Time aNow, Effects& aEffects)
   {
@@ -484,6 +546,9 @@
   NodePicker picker;
   LocalTarget target;
   DepartedTargets departed;
+  Evacuation evacuation;
+  /// Domains that are evacuated as far as picker and target have been told.
+  std::set<std::string> evacuatedDomains;
   EntryRequests entry;
   GracefulShutdown shutdown;
   /// Time of the next HopDeadlines messages; Time::max() unless the node is shutting down.
--- a/packages/decisions/mesh/node_picker.cc
+++ b/packages/decisions/mesh/node_picker.cc
@@ -65,13 +65,26 @@
         { .address = member.Address(),
           .isSelf = entry.first == this->options.node,
           .distance = this->DistanceTo(member),
+          .domain = member.GetDomain(),
           .region = member.Region(),
+          .evacuated = this->evacuatedDomains.contains(member.GetDomain()),
           .suspect = suspect,
           .record = &this->records[entry.first] });
     }
   }
 }
 
+void
+NodePicker::SetEvacuated(std::set<std::string> aDomains)
+{
+  this->evacuatedDomains = std::move(aDomains);
+  for (std::pair<const std::string, std::vector<Candidate>>& entry : this->candidatesByService) {
+    for (Candidate& candidate : entry.second) {
+      candidate.evacuated = this->evacuatedDomains.contains(candidate.domain);
+    }
+  }
+}
+
 double
 NodePicker::DistanceCost(const Candidate& aCandidate, std::uint64_t aBodyBytes)
 {
@@ -117,7 +130,7 @@
     if (!aCriteria.tried.empty() && aCriteria.tried.contains(candidate.address.Node())) {
       continue;
     }
-    if (!aCriteria.residency.Allows(candidate.region)) {
+    if (candidate.evacuated || !aCriteria.residency.Allows(candidate.region)) {
       continue;
     }
     // Excluded and suspect nodes are selected only if there is no other candidate.
@@ -145,11 +158,17 @@
   if (found == this->candidatesByService.end()) {
     return ResultCode::kNoTarget;
   }
-  const bool allowed = std::any_of(
-    found->second.begin(), found->second.end(), [&aCriteria](const Candidate& aCandidate) {
-      return aCriteria.residency.Allows(aCandidate.region);
-    });
-  return allowed ? ResultCode::kNoTarget : ResultCode::kNoAllowedRegion;
+  bool allowed = false;
+  bool inService = false;
+  for (const Candidate& candidate : found->second) {
+    const bool here = aCriteria.residency.Allows(candidate.region);
+    allowed = allowed || here;
+    inService = inService || (here && !candidate.evacuated);
+  }
+  if (!allowed) {
+    return ResultCode::kNoAllowedRegion;
+  }
+  return inService ? ResultCode::kNoTarget : ResultCode::kDomainEvacuated;
 }
 
 void
--- a/packages/decisions/mesh/node_picker.h
+++ b/packages/decisions/mesh/node_picker.h
@@ -10,7 +10,8 @@
 // load and the requests sent to it since; the candidate with the lowest cost is selected. Near
 // targets are used until they are busy, so traffic crosses domains and regions only when that
 // reduces the latency. A node that failed is avoided for a time that doubles with each consecutive
-// failure. Targets outside the regions in which a request may be served are never selected.
+// failure. Targets outside the regions in which a request may be served, and those in
+// evacuated domains, are never selected.
 //
 // Pick is linear in the number of ready targets of the service; SetMembers is linear in the number
 // of members.
@@ -67,6 +68,8 @@
 
   /// Sets the candidates of all services.
   void SetMembers(const Members& aMembers);
+  /// Sets the failure domains whose targets get no requests.
+  void SetEvacuated(std::set<std::string> aDomains);
   /// Returns nothing if no untried live node has a ready target of the service. Suspect nodes, and
   /// nodes that failed recently, are selected only if there is no other candidate.
   std::optional<PeerAddress> Pick(const Criteria& aCriteria, Time aNow);
@@ -107,7 +110,9 @@
     PeerAddress address;
     bool isSelf = false;
     Distance distance = Distance::kUnknown;
+    std::string domain;
     std::string region;
+    bool evacuated = false;
     bool suspect = false;
     /// Element of records.
     Record* record = nullptr;
@@ -119,6 +124,7 @@
 
   Options options;
   Random random;
+  std::set<std::string> evacuatedDomains;
   std::map<std::string, Record> records;
   std::map<std::string, std::vector<Candidate>> candidatesByService;
 };
--- a/packages/decisions/mesh/target_scheduler.cc
+++ b/packages/decisions/mesh/target_scheduler.cc
@@ -54,7 +54,7 @@
 bool
 TargetScheduler::HasFreeSlot(std::uint32_t aRank) const
 {
-  if (this->Running() >= this->slots) {
+  if (this->startLimit.closed || this->Running() >= this->slots) {
     return false;
   }
   if (!IsNestedCall(aRank)) {
@@ -96,7 +96,9 @@
   const auto ahead = std::distance(this->waiting.begin(), end);
   const Duration mean = this->meanTime > Duration::zero() ? this->meanTime : kInitialMeanTime;
   const std::size_t concurrency = IsNestedCall(aRank) ? this->slots : this->callerLimit.Limit();
-  return mean * (ahead + 1) / static_cast<std::int64_t>(std::max<std::size_t>(concurrency, 1));
+  const Duration wait =
+    mean * (ahead + 1) / static_cast<std::int64_t>(std::max<std::size_t>(concurrency, 1));
+  return std::max<Duration>(wait, this->startLimit.interval * (ahead + 1));
 }
 
 Duration
@@ -239,11 +241,24 @@
   return this->byExpiry.empty() ? Time::max() : this->byExpiry.begin()->first;
 }
 
+std::uint32_t
+TargetScheduler::Capacity() const
+{
+  if (this->slots == 0 || this->startLimit.interval == Duration::zero()) {
+    return this->slots;
+  }
+  const Duration mean = this->meanTime > Duration::zero() ? this->meanTime : kInitialMeanTime;
+  return static_cast<std::uint32_t>(
+    std::clamp<Duration::rep>(mean / this->startLimit.interval, 1, this->slots));
+}
+
 std::uint32_t
 TargetScheduler::LoadPerMille() const
 {
   const std::size_t load = this->Running() + this->waiting.size();
-  const std::size_t all = load * kPerMille / std::max<std::uint32_t>(this->slots, 1);
+  const std::size_t all =
+    std::max<std::size_t>(load * kPerMille / std::max<std::uint32_t>(this->Capacity(), 1),
+                          this->startLimit.closed ? kPerMille : 0);
   const std::size_t callers =
     this->runningCallers * kPerMille / std::max<std::size_t>(this->callerLimit.Limit(), 1);
   return static_cast<std::uint32_t>(std::max(all, callers));
--- a/packages/decisions/mesh/target_scheduler.h
+++ b/packages/decisions/mesh/target_scheduler.h
@@ -63,6 +63,17 @@
 
   /// Sets the number of requests that the target runs at once.
   void SetSlots(std::uint32_t aSlots);
+  /// Limit on the rate at which requests start, besides the slots.
+  struct StartLimit
+  {
+    /// Whether no request may start now.
+    bool closed = false;
+    /// Time between two starts; zero for no limit.
+    Duration interval{};
+  };
+
+  /// Sets the limit, which applies until the next call.
+  void SetStartLimit(const StartLimit& aLimit) { this->startLimit = aLimit; }
   /// Decides about a new request; with kTooLate and kQueueFull the request is not stored.
   Verdict Offer(const WaitingRequest& aRequest, Time aNow);
   /// Removes the first waiting request that may run now; it then counts as running.
@@ -88,12 +99,15 @@
 
   /// Time at which the next waiting request expires; Time::max() if none waits.
   Time NextExpiry() const;
-  std::uint32_t Slots() const { return this->slots; }
+  /// Requests that the target can run at once: its slots, or those that the start limit keeps busy
+  /// if they are fewer. 0 if unknown.
+  std::uint32_t Capacity() const;
+  bool IsStartClosed() const { return this->startLimit.closed; }
   std::size_t Running() const { return this->runningCalls + this->runningCallers; }
   std::size_t CallerLimit() const { return this->callerLimit.Limit(); }
   std::size_t WaitingCount() const { return this->waiting.size(); }
-  /// Running and waiting requests per 1000 slots, or running callers' requests per 1000 of their
-  /// limit if that is more.
+  /// Running and waiting requests per 1000 of the capacity, or running callers' requests per 1000
+  /// of their limit if that is more; at least 1000 while the start limit is closed.
   std::uint32_t LoadPerMille() const;
   /// Time that must remain until the deadline for a waiting request to be started.
   Duration RequiredTime(const HopContext& aContext) const;
@@ -131,6 +145,7 @@
   void Erase(Queue::iterator aEntry);
 
   std::uint32_t slots = 0;
+  StartLimit startLimit;
   CallerConcurrencyLimit callerLimit;
   std::size_t runningCalls = 0;
   std::size_t runningCallers = 0;
