--- a/packages/decisions/mesh/residency.cc
+++ b/packages/decisions/mesh/residency.cc
@@ -18,7 +18,7 @@
   if (aOrganisation == nullptr || aOrganisation->AllowedRegions().empty()) {
     return residency;
   }
-  const Residency ofOrganisation(aOrganisation->AllowedRegions());
+  Residency ofOrganisation(aOrganisation->AllowedRegions());
   if (!residency.IsRestricted()) {
     return ofOrganisation;
   }
