--- a/packages/decisions/mesh/entry_requests.cc
+++ b/packages/decisions/mesh/entry_requests.cc
@@ -123,11 +123,12 @@
     return ResultCode::kUnknownRoute;
   }
   Request request;
+  const MeshOrganisation* organisation = nullptr;
   if (table->NeedsKeys() && !route->Open()) {
     if (!aArrived.GetKeyHash()) {
       return ResultCode::kMissingKey;
     }
-    const MeshOrganisation* organisation = table->FindOrganisationByKey(*aArrived.GetKeyHash());
+    organisation = table->FindOrganisationByKey(*aArrived.GetKeyHash());
     if (organisation == nullptr) {
       return ResultCode::kUnknownKey;
     }
@@ -137,6 +138,7 @@
   request.exchange = aArrived.Exchange();
   request.id = aArrived.RequestId();
   request.route = *route;
+  request.residency = Residency::Of(*route, organisation);
   request.bodyBytes = aArrived.BodyBytes();
   request.service = this->modules.splits.Choose(*route);
   request.arrived = aNow;
@@ -185,10 +187,24 @@
   aRequest->second.hasToken = !aRequest->second.organisation.empty();
   this->modules.budget.NoteRequest(aRequest->second.service);
   if (!this->Send(aRequest, aNow, aEffects)) {
-    this->FinishRejected(aRequest, ResultCode::kNoTarget, RunState::kNotRun, aNow, aEffects);
+    const ResultCode code = this->modules.picker.AbsenceCode(
+      this->CriteriaOf(aRequest->second, aRequest->second.deadline - aNow));
+    this->FinishRejected(aRequest, code, RunState::kNotRun, aNow, aEffects);
   }
 }
 
+NodePicker::Criteria
+EntryRequests::CriteriaOf(const Request& aRequest, Duration aRemaining)
+{
+  return { .service = aRequest.service,
+           .tried = aRequest.tried,
+           .bodyBytes = aRequest.bodyBytes,
+           .residency = aRequest.residency,
+           .route = aRequest.route.Name(),
+           .remaining = aRemaining,
+           .nested = IsNestedCall(aRequest.rank) };
+}
+
 bool
 EntryRequests::Send(Requests::iterator aRequest, Time aNow, Effects& aEffects)
 {
@@ -198,13 +214,7 @@
     return false;
   }
   const std::optional<PeerAddress> peer =
-    this->modules.picker.Pick({ .service = request.service,
-                                .tried = request.tried,
-                                .bodyBytes = request.bodyBytes,
-                                .route = request.route.Name(),
-                                .remaining = remaining,
-                                .nested = IsNestedCall(request.rank) },
-                              aNow);
+    this->modules.picker.Pick(this->CriteriaOf(request, remaining), aNow);
   if (!peer) {
     return false;
   }
@@ -219,7 +229,8 @@
                        .callerService = this->options.service,
                        .rank = request.rank,
                        .idempotent = IsIdempotent(request.route),
-                       .remaining = remaining });
+                       .remaining = remaining,
+                       .allowedRegions = request.residency.Regions() });
   if (peer->Node() == this->options.node) {
     this->modules.target.Offer({ .exchange = request.exchange,
                                  .attempt = request.attempt,
--- a/packages/decisions/mesh/node_picker.cc
+++ b/packages/decisions/mesh/node_picker.cc
@@ -135,12 +135,26 @@
         { .address = member.Address(),
           .isSelf = entry.first == this->options.node,
           .distance = this->DistanceTo(member),
+          .domain = member.GetDomain(),
+          .region = member.Region(),
+          .evacuated = this->evacuatedDomains.contains(member.GetDomain()),
           .suspect = suspect,
           .record = &this->records[entry.first] });
     }
   }
 }
 
+void
+NodePicker::SetEvacuated(std::set<std::string> aDomains)
+{
+  this->evacuatedDomains = std::move(aDomains);
+  for (std::pair<const std::string, std::vector<Candidate>>& entry : this->candidatesByService) {
+    for (Candidate& candidate : entry.second) {
+      candidate.evacuated = this->evacuatedDomains.contains(candidate.domain);
+    }
+  }
+}
+
 double
 NodePicker::DistanceCost(const Candidate& aCandidate, std::uint64_t aBodyBytes)
 {
@@ -183,6 +197,12 @@
                               : this->PickByDistance(found->second, aCriteria, aNow);
 }
 
+bool
+NodePicker::MayServe(const Candidate& aCandidate, const Criteria& aCriteria)
+{
+  return !aCandidate.evacuated && aCriteria.residency.Allows(aCandidate.region);
+}
+
 std::optional<PeerAddress>
 NodePicker::PickByDistance(const Candidates& aCandidates, const Criteria& aCriteria, Time aNow)
 {
@@ -193,6 +213,9 @@
     if (!aCriteria.tried.empty() && aCriteria.tried.contains(candidate.address.Node())) {
       continue;
     }
+    if (!MayServe(candidate, aCriteria)) {
+      continue;
+    }
     // Excluded and suspect nodes are selected only if there is no other candidate.
     const bool excluded = candidate.suspect || candidate.record->excludedUntil > aNow;
     const double cost =
@@ -264,18 +287,23 @@
 std::vector<NodePicker::Rated>
 NodePicker::Rate(const Candidates& aCandidates, const Criteria& aCriteria, Time aNow) const
 {
+  std::vector<const Candidate*> serving;
   std::vector<std::string_view> nodes;
+  serving.reserve(aCandidates.size());
   nodes.reserve(aCandidates.size());
   for (const Candidate& candidate : aCandidates) {
-    nodes.push_back(candidate.address.Node());
+    if (MayServe(candidate, aCriteria)) {
+      serving.push_back(&candidate);
+      nodes.push_back(candidate.address.Node());
+    }
   }
   const ByDistance meanLoads = MeanLoads(aCandidates, aNow);
   const std::vector<TargetSpeed::Estimate> times =
     this->speed.Estimates(aCriteria.route, nodes, aNow);
   std::vector<Rated> rated;
-  rated.reserve(aCandidates.size());
-  for (std::size_t index = 0; index < aCandidates.size(); ++index) {
-    const Candidate& candidate = aCandidates[index];
+  rated.reserve(serving.size());
+  for (std::size_t index = 0; index < serving.size(); ++index) {
+    const Candidate& candidate = *serving[index];
     const Record& record = *candidate.record;
     const double load = LoadOf(record, meanLoads.at(IndexOf(candidate.distance)), aNow);
     const TargetSpeed::Estimate& time = times[index];
@@ -442,6 +470,27 @@
   this->left.clear();
 }
 
+ResultCode
+NodePicker::AbsenceCode(const Criteria& aCriteria) const
+{
+  const std::map<std::string, std::vector<Candidate>>::const_iterator found =
+    this->candidatesByService.find(aCriteria.service);
+  if (found == this->candidatesByService.end()) {
+    return ResultCode::kNoTarget;
+  }
+  bool allowed = false;
+  bool inService = false;
+  for (const Candidate& candidate : found->second) {
+    const bool here = aCriteria.residency.Allows(candidate.region);
+    allowed = allowed || here;
+    inService = inService || (here && !candidate.evacuated);
+  }
+  if (!allowed) {
+    return ResultCode::kNoAllowedRegion;
+  }
+  return inService ? ResultCode::kNoTarget : ResultCode::kDomainEvacuated;
+}
+
 void
 NodePicker::NoteSent(const std::string& aNode)
 {
--- a/packages/decisions/mesh/node_picker.h
+++ b/packages/decisions/mesh/node_picker.h
@@ -10,7 +10,8 @@
 // load and the requests sent to it since; the candidate with the lowest cost is selected. Near
 // targets are used until they are busy, so traffic crosses domains and regions only when that
 // reduces the latency. A node that failed is avoided for a time that doubles with each consecutive
-// failure.
+// failure. Targets outside the regions in which a request may be served, and those in
+// evacuated domains, are never selected.
 //
 // With a RegionPolicy the cost is the expected time to the response instead: the distance, the wait
 // for a slot and the time that the target takes (see target_speed.h). Two additions order
@@ -37,11 +38,13 @@
 
 #include "decisions/effects.h"
 #include "decisions/mesh/domain_overflow.h"
+#include "decisions/mesh/residency.h"
 #include "decisions/mesh/target_speed.h"
 #include "util/clock.h"
 #include "util/random.h"
 #include "values/generated/common.h"
 #include "values/generated/peer.h"
+#include "values/generated/results.h"
 #include "values/generated/settings.h"
 
 namespace jackdawwind {
@@ -68,6 +71,8 @@
     /// Nodes that are not considered.
     const std::set<std::string>& tried;
     std::uint64_t bodyBytes = 0;
+    /// Regions in which the request may be served.
+    const Residency& residency = kAnyRegion;
     /// Name of the route; only used with a policy, like the fields below.
     std::string_view route = {};
     /// Time left until the deadline.
@@ -93,9 +98,13 @@
   void SetShortestObjective(Duration aObjective);
   /// Sets the candidates of all services.
   void SetMembers(const Members& aMembers);
+  /// Sets the failure domains whose targets get no requests.
+  void SetEvacuated(std::set<std::string> aDomains);
   /// Returns nothing if no untried live node has a ready target of the service. Suspect nodes, and
   /// nodes that failed recently, are selected only if there is no other candidate.
   std::optional<PeerAddress> Pick(const Criteria& aCriteria, Time aNow);
+  /// Reason why Pick returned nothing.
+  ResultCode AbsenceCode(const Criteria& aCriteria) const;
   void NoteSent(const std::string& aNode);
   void NoteAnswer(const std::string& aNode, const Load& aLoad, Time aNow);
   /// Notes that the connection failed or broke.
@@ -111,6 +120,7 @@
   Time NextWake() const { return this->overflow.NextWake(); }
 
 private:
+  inline static const Residency kAnyRegion;
   /// One of about fifty slots.
   static constexpr double kDefaultLoadPerRequest = 0.02;
 
@@ -135,6 +145,9 @@
     PeerAddress address;
     bool isSelf = false;
     Distance distance = Distance::kUnknown;
+    std::string domain;
+    std::string region;
+    bool evacuated = false;
     bool suspect = false;
     /// Element of records.
     Record* record = nullptr;
@@ -190,6 +203,8 @@
   Distance DistanceTo(const Member& aMember) const;
   static double DistanceCost(const Candidate& aCandidate, std::uint64_t aBodyBytes);
   static double CostOf(const Candidate& aCandidate, std::uint64_t aBodyBytes, Time aNow);
+  /// Whether the candidate's domain is in service and its region allowed.
+  static bool MayServe(const Candidate& aCandidate, const Criteria& aCriteria);
   std::optional<PeerAddress> PickByDistance(const Candidates& aCandidates,
                                             const Criteria& aCriteria,
                                             Time aNow);
@@ -222,6 +237,7 @@
   /// Requests that left since the last Poll, by distance and reason.
   std::map<std::pair<Distance, OverflowReason>, std::uint64_t> left;
   Random random;
+  std::set<std::string> evacuatedDomains;
   std::map<std::string, Record> records;
   std::map<std::string, Candidates> candidatesByService;
 };
