--- a/packages/decisions/mesh/node_picker.cc
+++ b/packages/decisions/mesh/node_picker.cc
@@ -227,23 +227,49 @@
   }
 }
 
+double
+NodePicker::ReportWeight(const Record& aRecord, Duration aLifetime, Time aNow)
+{
+  const double age = Seconds(aNow - aRecord.loadAt) / Seconds(aLifetime);
+  return aRecord.loadAt > Time{} ? std::clamp(1 - age, 0.0, 1.0) : 0;
+}
+
+NodePicker::ByDistance
+NodePicker::MeanLoads(const Candidates& aCandidates, Time aNow)
+{
+  ByDistance sums{};
+  ByDistance weights{};
+  for (const Candidate& candidate : aCandidates) {
+    const std::size_t distance = IndexOf(candidate.distance);
+    const double weight = ReportWeight(*candidate.record, kMeanLoadLifetime, aNow);
+    sums.at(distance) += candidate.record->load * weight;
+    weights.at(distance) += weight;
+  }
+  for (std::size_t distance = 0; distance < kDistances; ++distance) {
+    sums.at(distance) = weights.at(distance) > 0 ? sums.at(distance) / weights.at(distance) : 0;
+  }
+  return sums;
+}
+
+double
+NodePicker::LoadOf(const Record& aRecord, double aMeanLoad, Time aNow)
+{
+  // A target without a recent report counted as idle would show room in a domain that is full.
+  const double freshness = ReportWeight(aRecord, kLoadLifetime, aNow);
+  const double reported = aRecord.load * freshness + aMeanLoad * (1 - freshness);
+  return std::max(reported + aRecord.sentSinceReport * aRecord.loadPerRequest,
+                  aRecord.inFlight * aRecord.loadPerRequest);
+}
+
 std::vector<NodePicker::Rated>
 NodePicker::Rate(const Candidates& aCandidates, const Criteria& aCriteria, Time aNow) const
 {
-  // The load of a target without a recent report is that of the others at its distance. Counted as
-  // idle, it would show room in a domain that is full.
-  std::array<double, kDistances> loadSum{};
-  std::array<double, kDistances> weightSum{};
   std::vector<std::string_view> nodes;
   nodes.reserve(aCandidates.size());
   for (const Candidate& candidate : aCandidates) {
     nodes.push_back(candidate.address.Node());
-    const Record& record = *candidate.record;
-    const double age = Seconds(aNow - record.loadAt) / Seconds(kMeanLoadLifetime);
-    const double weight = record.loadAt > Time{} ? std::max(1 - age, 0.0) : 0;
-    loadSum.at(IndexOf(candidate.distance)) += record.load * weight;
-    weightSum.at(IndexOf(candidate.distance)) += weight;
   }
+  const ByDistance meanLoads = MeanLoads(aCandidates, aNow);
   const std::vector<TargetSpeed::Estimate> times =
     this->speed.Estimates(aCriteria.route, nodes, aNow);
   std::vector<Rated> rated;
@@ -251,14 +277,7 @@
   for (std::size_t index = 0; index < aCandidates.size(); ++index) {
     const Candidate& candidate = aCandidates[index];
     const Record& record = *candidate.record;
-    const std::size_t distance = IndexOf(candidate.distance);
-    const double mean =
-      weightSum.at(distance) > 0 ? loadSum.at(distance) / weightSum.at(distance) : 0;
-    const double age = Seconds(aNow - record.loadAt) / Seconds(kLoadLifetime);
-    const double freshness = record.loadAt > Time{} ? std::clamp(1 - age, 0.0, 1.0) : 0;
-    const double load = std::max(record.load * freshness + mean * (1 - freshness) +
-                                   record.sentSinceReport * record.loadPerRequest,
-                                 record.inFlight * record.loadPerRequest);
+    const double load = LoadOf(record, meanLoads.at(IndexOf(candidate.distance)), aNow);
     const TargetSpeed::Estimate& time = times[index];
     const double expected =
       time.expected > Duration::zero() ? Milliseconds(time.expected) : kUnknownTime;
--- a/packages/decisions/mesh/node_picker.h
+++ b/packages/decisions/mesh/node_picker.h
@@ -167,13 +167,14 @@
 
   /// Distances to members; the index of an array by distance.
   static constexpr std::size_t kDistances = 3;
+  using ByDistance = std::array<double, kDistances>;
 
   /// Untried candidates that are not excluded, by distance.
   struct Summary
   {
     /// Shortest expected time; infinite if there is none.
-    std::array<double, kDistances> bestTime{};
-    std::array<double, kDistances> loadSum{};
+    ByDistance bestTime{};
+    ByDistance loadSum{};
     std::array<std::size_t, kDistances> count{};
     /// Whether the own domain has a candidate that is not excluded but was tried.
     bool triedAtHome = false;
@@ -197,6 +198,12 @@
                                         Time aNow);
   /// Cost of the distance in milliseconds with the weights of the policy.
   double PolicyDistanceCost(const Candidate& aCandidate, std::uint64_t aBodyBytes) const;
+  /// Weight of a load report, which falls from 1 to 0 within aLifetime.
+  static double ReportWeight(const Record& aRecord, Duration aLifetime, Time aNow);
+  /// Means of the reported loads.
+  static ByDistance MeanLoads(const Candidates& aCandidates, Time aNow);
+  /// Estimated load of a target; aMeanLoad stands for a report that is too old.
+  static double LoadOf(const Record& aRecord, double aMeanLoad, Time aNow);
   std::vector<Rated> Rate(const Candidates& aCandidates,
                           const Criteria& aCriteria,
                           Time aNow) const;
