--- a/packages/decisions/tests/evacuation_test.cc
+++ b/packages/decisions/tests/evacuation_test.cc
@@ -155,6 +155,7 @@
   mesh.SetWork("/fleet/", { .time = milliseconds(600) });
   // One request more than the target has slots.
   std::vector<std::uint64_t> requests;
+  requests.reserve(10);
   for (int index = 0; index < 9; ++index) {
     requests.push_back(mesh.Request("a1", "api", "/fleet/1", "north-key"));
   }
