Start again from the store when its era rises

Cause: the store may return from a copy that is some seconds old. It then assigns offsets again, and records acknowledged since the copy are lost. The client went on at its old offset, and a lost registry entry was not written again until the node restarted.

Ruled out: taking an era from a peer as a fact. A wrong one would make every later response of the store look late. A peer's era causes one read of the registry instead; the response states the era.

Probe, ProbeAck and StoreContact carry the era.

No test of MeshCore yet.

--- a/packages/decisions/membership/membership.cc
+++ b/packages/decisions/membership/membership.cc
@@ -292,6 +292,12 @@
   this->configOffset = aOffset;
 }
 
+void
+Membership::SetStoreEra(std::uint64_t aEra)
+{
+  this->storeEra = aEra;
+}
+
 void
 Membership::Poll(Time aNow, Effects& aEffects)
 {
@@ -520,7 +526,8 @@
                                   .sender = this->options.self.Address(),
                                   .tableHash = this->table.Hash(),
                                   .configOffset = this->configOffset,
-                                  .changes = this->ChangesFor(aTo.Node(), aWithSelf) }) }));
+                                  .changes = this->ChangesFor(aTo.Node(), aWithSelf),
+                                  .storeEra = this->storeEra }) }));
 }
 
 void
@@ -535,7 +542,8 @@
                                                       .subject = aSubject,
                                                       .tableHash = this->table.Hash(),
                                                       .configOffset = this->configOffset,
-                                                      .changes = std::move(aChanges) }) }));
+                                                      .changes = std::move(aChanges),
+                                                      .storeEra = this->storeEra }) }));
 }
 
 void
--- a/packages/decisions/membership/membership.h
+++ b/packages/decisions/membership/membership.h
@@ -78,6 +78,8 @@
   void Leave(Time aNow, Effects& aEffects);
   /// Sets the configuration offset that this node's probes and acknowledgements report.
   void SetConfigOffset(std::uint64_t aOffset);
+  /// Sets the era of the platform's store that this node's probes and acknowledgements report.
+  void SetStoreEra(std::uint64_t aEra);
 
   /// Runs the timers that are due.
   void Poll(Time aNow, Effects& aEffects);
@@ -169,6 +171,7 @@
   std::uint32_t joinRounds = 0;
   Time nextJoinRound = Time::max();
   std::uint64_t configOffset = 0;
+  std::uint64_t storeEra = 0;
   Time nextPeriod{};
   /// Node that did not answer a message; probed next.
   std::optional<std::string> unresponsive;
--- a/packages/decisions/mesh/mesh_core.cc
+++ b/packages/decisions/mesh/mesh_core.cc
@@ -12,6 +12,7 @@
 #include "decisions/membership/membership.h"
 #include "decisions/mesh/departed_targets.h"
 #include "decisions/mesh/entry_requests.h"
+#include "decisions/mesh/store_era.h"
 #include "decisions/mesh/store_readers.h"
 
 namespace jackdawwind {
@@ -191,11 +192,28 @@
   }
   void On(const StoreReached& /*aEvent*/, Time /*aNow*/, Effects& aEffects)
   {
-    for (SendPeer& message :
-         this->storeReaders.Announce(this->options.self, this->configuration.Version())) {
+    for (SendPeer& message : this->storeReaders.Announce(
+           this->options.self, this->configuration.Version(), this->storeEra.Known())) {
       aEffects.push_back(std::move(message));
     }
   }
+  /// Passes the era on. Nothing else follows from it here: the version in force, departures and
+  /// quotas don't go back with the store, and StoreClient writes this node's records again.
+  void On(const StoreEraChanged& aEvent, Time /*aNow*/, Effects& aEffects)
+  {
+    const std::uint64_t before = this->storeEra.Known();
+    if (!this->storeEra.NoteStore(aEvent.Era())) {
+      return;
+    }
+    this->membership.SetStoreEra(this->storeEra.Known());
+    aEffects.push_back(MetricUpdated(
+      { .metric = Metric::kStoreEra, .value = static_cast<double>(this->storeEra.Known()) }));
+    AddLogLine(aEffects,
+               LogEvent::kStoreEraStarted,
+               "era=" + std::to_string(this->storeEra.Known()) +
+                 " before=" + std::to_string(before) +
+                 " version=" + std::to_string(this->configuration.Version()));
+  }
   void On(const PeerReceived& aEvent, Time aNow, Effects& aEffects)
   {
     std::visit(
@@ -228,6 +246,7 @@
     this->quota.NotePeerMessage(aNow);
     this->membership.Receive(aMessage, aNow, aEffects);
     this->configuration.NoteVersion(aMessage.Sender(), aMessage.ConfigOffset(), aNow, aEffects);
+    this->NoteReportedEra(aMessage.StoreEra(), aMessage.Sender().Node(), aNow, aEffects);
   }
   void OnPeer(const ProbeAck& aMessage, Time aNow, Effects& aEffects)
   {
@@ -239,6 +258,7 @@
       this->configuration.NoteVersion(
         sender->second.Address(), aMessage.ConfigOffset(), aNow, aEffects);
     }
+    this->NoteReportedEra(aMessage.StoreEra(), aMessage.Subject(), aNow, aEffects);
   }
   void OnPeer(const ProbeRequest& aMessage, Time aNow, Effects& aEffects)
   {
@@ -257,6 +277,7 @@
   {
     this->storeReaders.Receive(aMessage, aNow);
     this->configuration.NoteVersion(aMessage.Sender(), aMessage.Version(), aNow, aEffects);
+    this->NoteReportedEra(aMessage.StoreEra(), aMessage.Sender().Node(), aNow, aEffects);
   }
   void OnPeer(const MeshConfigWant& aMessage, Time /*aNow*/, Effects& aEffects)
   {
@@ -319,6 +340,23 @@
     this->membership.SetConfigOffset(this->configuration.Version());
   }
 
+  /// Asks the store about an era that a peer reports, if it is higher than the known one.
+  void NoteReportedEra(std::uint64_t aEra, const std::string& aPeer, Time aNow, Effects& aEffects)
+  {
+    const StoreEra::Report report = this->storeEra.NotePeer(aEra, aNow);
+    if (report == StoreEra::Report::kKnown) {
+      return;
+    }
+    const bool ask = report == StoreEra::Report::kAsk;
+    if (ask) {
+      aEffects.push_back(FollowStore({ .active = this->followsStore, .era = aEra }));
+    }
+    AddLogLine(aEffects,
+               ask ? LogEvent::kStoreEraReported : LogEvent::kStoreEraIgnored,
+               "peer=" + aPeer + " era=" + std::to_string(aEra) +
+                 " known=" + std::to_string(this->storeEra.Known()));
+  }
+
   /// Publishes the local target's service and state through the membership.
   void PublishTarget(Time aNow, Effects& aEffects)
   {
@@ -393,7 +431,7 @@
       return;
     }
     this->followsStore = wanted;
-    aEffects.push_back(FollowStore({ .active = wanted }));
+    aEffects.push_back(FollowStore({ .active = wanted, .era = 0 }));
     aEffects.push_back(
       MetricUpdated({ .metric = Metric::kStoreReader, .value = wanted ? 1.0 : 0.0 }));
     AddLogLine(aEffects,
@@ -475,6 +513,7 @@
   Membership membership;
   ConfigurationGossip configuration;
   StoreReaders storeReaders;
+  StoreEra storeEra;
   QuotaPool quota;
   RepeatBudget budget;
   SplitChooser splits;
--- a/packages/decisions/mesh/store_readers.cc
+++ b/packages/decisions/mesh/store_readers.cc
@@ -90,7 +90,9 @@
 }
 
 std::vector<SendPeer>
-StoreReaders::Announce(const PeerAddress& aSelf, std::uint64_t aVersion) const
+StoreReaders::Announce(const PeerAddress& aSelf,
+                       std::uint64_t aVersion,
+                       std::uint64_t aStoreEra) const
 {
   std::vector<SendPeer> messages;
   if (!this->following) {
@@ -98,8 +100,10 @@
   }
   messages.reserve(this->peers.size());
   for (const PeerAddress& peer : this->peers) {
-    messages.push_back(
-      SendPeer({ .to = peer, .message = StoreContact({ .sender = aSelf, .version = aVersion }) }));
+    messages.push_back(SendPeer(
+      { .to = peer,
+        .message =
+          StoreContact({ .sender = aSelf, .version = aVersion, .storeEra = aStoreEra }) }));
   }
   return messages;
 }
--- a/packages/decisions/mesh/store_readers.h
+++ b/packages/decisions/mesh/store_readers.h
@@ -65,7 +65,9 @@
   /// Decides whether this node follows the store from now on.
   bool ShouldFollow(Time aNow);
   /// Messages to the domain after this node has reached the store; none unless it follows.
-  std::vector<SendPeer> Announce(const PeerAddress& aSelf, std::uint64_t aVersion) const;
+  std::vector<SendPeer> Announce(const PeerAddress& aSelf,
+                                 std::uint64_t aVersion,
+                                 std::uint64_t aStoreEra = 0) const;
 
   /// Time at which ShouldFollow may change without a message; Time::max() if it can't.
   Time NextWake() const;
--- a/packages/node/mesh_process.cc
+++ b/packages/node/mesh_process.cc
@@ -140,9 +140,7 @@
   routes.peers = [this](const SendPeer& aEffect) {
     this->peers->Submit(aEffect, this->core->DistanceTo(aEffect.To().Node()));
   };
-  routes.followStore = [follow = std::move(aHandlers.followStore)](const FollowStore& aEffect) {
-    follow(aEffect.Active());
-  };
+  routes.followStore = std::move(aHandlers.followStore);
   routes.report = [this](ReportItem aItem) { this->reporting->Submit(std::move(aItem)); };
   routes.drained = std::move(aHandlers.drained);
   return routes;
--- a/packages/node/mesh_process.h
+++ b/packages/node/mesh_process.h
@@ -41,8 +41,8 @@
   {
     /// The process may exit.
     std::function<void()> drained;
-    /// Sets whether the node follows the platform's store.
-    std::function<void(bool)> followStore;
+    /// Sets whether the node follows the platform's store, and passes on an era to ask it about.
+    std::function<void(const FollowStore&)> followStore;
   };
 
   /// Starts all threads.
