--- a/packages/decisions/mesh/mesh_core.cc
+++ b/packages/decisions/mesh/mesh_core.cc
@@ -192,10 +192,7 @@
   }
   void On(const StoreReached& /*aEvent*/, Time /*aNow*/, Effects& aEffects)
   {
-    for (SendPeer& message : this->storeReaders.Announce(
-           this->options.self, this->configuration.Version(), this->storeEra.Known())) {
-      aEffects.push_back(std::move(message));
-    }
+    this->AnnounceContact(aEffects);
   }
   /// Passes the era on. Nothing else follows from it here: the version in force, departures and
   /// quotas don't go back with the store, and StoreClient writes this node's records again.
@@ -206,6 +203,7 @@
       return;
     }
     this->membership.SetStoreEra(this->storeEra.Known());
+    this->AnnounceContact(aEffects);
     aEffects.push_back(MetricUpdated(
       { .metric = Metric::kStoreEra, .value = static_cast<double>(this->storeEra.Known()) }));
     AddLogLine(aEffects,
@@ -340,6 +338,15 @@
     this->membership.SetConfigOffset(this->configuration.Version());
   }
 
+  /// Tells the own domain that this node follows the store and has reached it, if it follows.
+  void AnnounceContact(Effects& aEffects) const
+  {
+    for (SendPeer& message : this->storeReaders.Announce(
+           this->options.self, this->configuration.Version(), this->storeEra.Known())) {
+      aEffects.push_back(std::move(message));
+    }
+  }
+
   /// Asks the store about an era that a peer reports, if it is higher than the known one.
   void NoteReportedEra(std::uint64_t aEra, const std::string& aPeer, Time aNow, Effects& aEffects)
   {
