--- a/packages/decisions/membership/membership.cc
+++ b/packages/decisions/membership/membership.cc
@@ -292,6 +292,12 @@
   this->configOffset = aOffset;
 }
 
+void
+Membership::SetStoreEra(std::uint64_t aEra)
+{
+  this->storeEra = aEra;
+}
+
 void
 Membership::Poll(Time aNow, Effects& aEffects)
 {
@@ -521,7 +527,8 @@
                                   .tableHash = this->table.Hash(),
                                   .configOffset = this->configOffset,
                                   .evacuationHash = this->evacuationHash,
-                                  .changes = this->ChangesFor(aTo.Node(), aWithSelf) }) }));
+                                  .changes = this->ChangesFor(aTo.Node(), aWithSelf),
+                                  .storeEra = this->storeEra }) }));
 }
 
 void
@@ -537,7 +544,8 @@
                                                       .tableHash = this->table.Hash(),
                                                       .configOffset = this->configOffset,
                                                       .evacuationHash = this->evacuationHash,
-                                                      .changes = std::move(aChanges) }) }));
+                                                      .changes = std::move(aChanges),
+                                                      .storeEra = this->storeEra }) }));
 }
 
 void
--- a/packages/decisions/membership/membership.h
+++ b/packages/decisions/membership/membership.h
@@ -80,6 +80,8 @@
   void SetConfigOffset(std::uint64_t aOffset);
   /// Sets the hash of the evacuation orders that probes carry.
   void SetEvacuationHash(std::uint64_t aHash) { this->evacuationHash = aHash; }
+  /// Sets the era of the platform's store that this node's probes and acknowledgements report.
+  void SetStoreEra(std::uint64_t aEra);
 
   /// Runs the timers that are due.
   void Poll(Time aNow, Effects& aEffects);
@@ -172,6 +174,7 @@
   Time nextJoinRound = Time::max();
   std::uint64_t configOffset = 0;
   std::uint64_t evacuationHash = 0;
+  std::uint64_t storeEra = 0;
   Time nextPeriod{};
   /// Node that did not answer a message; probed next.
   std::optional<std::string> unresponsive;
--- a/packages/decisions/mesh/store_readers.cc
+++ b/packages/decisions/mesh/store_readers.cc
@@ -90,9 +90,7 @@
 }
 
 std::vector<SendPeer>
-StoreReaders::Announce(const PeerAddress& aSelf,
-                       std::uint64_t aVersion,
-                       std::uint64_t aEvacuationHash) const
+StoreReaders::Announce(const StoreContact& aContact) const
 {
   std::vector<SendPeer> messages;
   if (!this->following) {
@@ -100,10 +98,7 @@
   }
   messages.reserve(this->peers.size());
   for (const PeerAddress& peer : this->peers) {
-    messages.push_back(
-      SendPeer({ .to = peer,
-                 .message = StoreContact(
-                   { .sender = aSelf, .version = aVersion, .evacuationHash = aEvacuationHash }) }));
+    messages.push_back(SendPeer({ .to = peer, .message = aContact }));
   }
   return messages;
 }
--- a/packages/decisions/mesh/store_readers.h
+++ b/packages/decisions/mesh/store_readers.h
@@ -5,7 +5,7 @@
 //   readers.SetMembers(members);                 // after every change
 //   readers.Receive(contact, now);               // StoreContact of another node
 //   if (readers.ShouldFollow(now)) { ... follow the store ... }
-//   for (const SendPeer& message : readers.Announce(address, version)) { ... }   // on StoreReached
+//   for (const SendPeer& message : readers.Announce(contact)) { ... }   // on StoreReached
 //
 // If every node followed the store, its calls would grow with the fleet. The first
 // kStoreReadersPerDomain alive members of each domain, in the order of node ids, are enough: gossip
@@ -64,11 +64,9 @@
   void Receive(const StoreContact& aContact, Time aNow);
   /// Decides whether this node follows the store from now on.
   bool ShouldFollow(Time aNow);
-  /// Messages to the domain after this node has reached the store; none unless it follows.
-  /// aEvacuationHash: hash of the evacuation orders that this node has.
-  std::vector<SendPeer> Announce(const PeerAddress& aSelf,
-                                 std::uint64_t aVersion,
-                                 std::uint64_t aEvacuationHash = 0) const;
+  /// Messages with aContact to the domain after this node has reached the store; none unless it
+  /// follows.
+  std::vector<SendPeer> Announce(const StoreContact& aContact) const;
 
   /// Time at which ShouldFollow may change without a message; Time::max() if it can't.
   Time NextWake() const;
--- a/packages/decisions/tests/store_readers_test.cc
+++ b/packages/decisions/tests/store_readers_test.cc
@@ -116,7 +116,8 @@
     if (!aNode.reachesStore) {
       return;
     }
-    for (const SendPeer& message : aNode.readers->Announce(PeerAddress({ .node = aName }), 7)) {
+    for (const SendPeer& message : aNode.readers->Announce(
+           StoreContact({ .sender = PeerAddress({ .node = aName }), .version = 7 }))) {
       ++this->sent;
       if (this->dropEvery == 0 || this->sent % this->dropEvery != 0) {
         this->nodes.at(message.To().Node())
