Treat downloads as idempotent

Ruled out: reading `download` as `idempotent`, which would lose the kind that later rules on large responses need.

Change: RouteKind has the value Download, and IsIdempotent of the entry counts it as idempotent.

Before, with the kind known but not idempotent, MeshCore.DownloadIsRetriedAndCancelledLikeAn- IdempotentRequest got 502 after one run; now 200 after two. 35 Mesh* tests and 3 ConfigurationDocument tests pass.

--- a/packages/decisions/mesh/entry_requests.cc
+++ b/packages/decisions/mesh/entry_requests.cc
@@ -73,7 +73,7 @@
 bool
 IsIdempotent(const MeshRoute& aRoute)
 {
-  return aRoute.Kind() == RouteKind::kIdempotent;
+  return aRoute.Kind() == RouteKind::kIdempotent || aRoute.Kind() == RouteKind::kDownload;
 }
 
 } // namespace
--- a/packages/decisions/tests/mesh_core_test.cc
+++ b/packages/decisions/tests/mesh_core_test.cc
@@ -304,6 +304,33 @@
   EXPECT_EQ(mesh.AnswerTo(booking), nullptr);
 }
 
+// Guards against downloads that are lost with one answer, or run on after their caller has left,
+// because their kind counts as non-idempotent.
+TEST(MeshCore, DownloadIsRetriedAndCancelledLikeAnIdempotentRequest)
+{
+  FakeMesh mesh(1);
+  StartFleet(mesh);
+  MeshConfiguration::Fields fields = MakeConfiguration(2).ToFields();
+  fields.routes.push_back(MakeRoute(
+    "api", { .prefix = "/export/", .service = "fleet", .kind = RouteKind::kDownload }, false));
+  mesh.Configure(MeshConfiguration(std::move(fields)));
+  mesh.Advance(seconds(1));
+  mesh.SetBehaviour("a1", FakeMesh::TargetBehaviour::kBreakConnection);
+  const std::uint64_t retried = mesh.Request("a2", "api", "/export/1", "north-key");
+  mesh.Advance(seconds(2));
+  ASSERT_NE(mesh.AnswerTo(retried), nullptr);
+  EXPECT_EQ(mesh.AnswerTo(retried)->status, 200U);
+  EXPECT_EQ(mesh.RunsOf(retried), 2U);
+  mesh.SetBehaviour("a1", FakeMesh::TargetBehaviour::kServe);
+  mesh.SetWork("/export/", { .time = seconds(1) });
+  const std::uint64_t abandoned = mesh.Request("a2", "api", "/export/1", "north-key");
+  mesh.Advance(milliseconds(200));
+  ASSERT_EQ(mesh.RunsOf(abandoned), 1U);
+  mesh.Disconnect(abandoned);
+  mesh.Advance(milliseconds(200));
+  EXPECT_EQ(mesh.RunningAt("a1") + mesh.RunningAt("b1"), 0U);
+}
+
 TEST(MeshCore, AbandonedWaitingRequestNeverRuns)
 {
   FakeMesh mesh(1);
