Reject truncated and invalid responses of targets and nodes

Cause: after a failed write an outgoing exchange reads on. On Linux the failed write takes the error of the socket, so that a reset ends like a clean end of the connection, and a response without a length counted as complete. The exchange also took any three digits but 101 as a status.

Ruled out: not reading after a failed write, which would lose a refusal with a length. A reset after a request that was written whole was read as an error before, too.

Change: a response that the end of the connection delimits counts only if the request was written whole. A status outside 100 to 599, or 101, ends the exchange as broken.

After: the 16 tests of OutgoingExchangeTest, ProxyFixture and FullRingFixture pass.

Conclusion: the two faults share one condition and stand in one commit. Whole processes, over one node and over two, are not tested yet.

--- a/packages/node/outgoing_exchange.cc
+++ b/packages/node/outgoing_exchange.cc
@@ -24,6 +24,17 @@
          aMethod == http::verb::post;
 }
 
+/// Whether a status may stand in an answer: in the range of RFC 9110, 15, and not 101, which no
+/// request of a node asks for.
+bool
+IsValidStatus(unsigned aStatus)
+{
+  constexpr unsigned kFirstStatus = 100;
+  constexpr unsigned kLastStatus = 599;
+  return aStatus >= kFirstStatus && aStatus <= kLastStatus &&
+         aStatus != static_cast<unsigned>(http::status::switching_protocols);
+}
+
 } // namespace
 
 std::shared_ptr<OutgoingExchange>
@@ -166,7 +177,7 @@
     this->WriteSome();
     return;
   }
-  // After a failed write the receive buffer may still hold a refusal.
+  // After a failed write the receive buffer may still hold a refusal with a length.
   this->ArmSilenceTimer();
   this->ReadAnswer();
 }
@@ -200,10 +211,7 @@
   if (!this->done) {
     return;
   }
-  const bool disallowedCloseDelimited = !this->request.allowCloseDelimited &&
-                                        this->parser->is_header_done() &&
-                                        !this->parser->is_done() && this->parser->need_eof();
-  if (aError || disallowedCloseDelimited || !this->ReserveBody()) {
+  if (aError || this->HasInvalidHeader() || !this->ReserveBody()) {
     this->Finish(ConnectionBroken{});
     return;
   }
@@ -215,6 +223,21 @@
   this->OnComplete();
 }
 
+bool
+OutgoingExchange::HasInvalidHeader()
+{
+  if (!this->parser->is_header_done()) {
+    return false;
+  }
+  if (!IsValidStatus(this->parser->get().result_int())) {
+    return true;
+  }
+  // A failed write takes the socket's error, so that a read after it ends like a clean end of the
+  // connection even if the other side reset it.
+  return this->parser->need_eof() &&
+         (!this->request.allowCloseDelimited || !this->serializer->is_done());
+}
+
 bool
 OutgoingExchange::ReserveBody()
 {
@@ -233,10 +256,6 @@
 OutgoingExchange::OnComplete()
 {
   const unsigned status = this->parser->get().result_int();
-  if (status == static_cast<unsigned>(http::status::switching_protocols)) {
-    this->Finish(ConnectionBroken{});
-    return;
-  }
   if (http::to_status_class(status) == http::status_class::informational) {
     ++this->interimAnswers;
     if (this->interimAnswers > kMaxInterimAnswers) {
--- a/packages/node/outgoing_exchange.h
+++ b/packages/node/outgoing_exchange.h
@@ -52,7 +52,8 @@
   /// Longest time without a byte sent or received; nullopt for no such limit.
   std::optional<Duration> silenceLimit;
   /// Whether the end of the connection may delimit the body of an answer (RFC 9112, 6.3). Not
-  /// allowed between nodes, since such an answer cannot be told from a truncated one.
+  /// allowed between nodes, since such an answer cannot be told from a truncated one. Otherwise it
+  /// counts only if the request was written whole.
   bool allowCloseDelimited = false;
   /// Whether an answer belongs to this request; null to accept any. Other answers are read and
   /// dropped: a faulty target may send an answer twice, and the duplicate precedes the answer to
@@ -74,7 +75,8 @@
 {};
 
 /// The exchange failed after the first byte was written: the connection broke, or the answer was
-/// malformed, over a limit or without memory for its body. The request may have run.
+/// malformed, over a limit, without memory for its body or of an invalid status. The request may
+/// have run.
 struct ConnectionBroken
 {
   /// Whether it failed since OutgoingRequest::silenceLimit passed.
@@ -123,6 +125,8 @@
   void ReadAnswer();
   void ReadSome();
   void OnRead(const ErrorCode& aError);
+  /// Whether the header section shows that no valid answer follows.
+  bool HasInvalidHeader();
   /// Reserves memory for the body received or announced; false when the budget has too little.
   bool ReserveBody();
   void OnComplete();
--- a/packages/node/tests/fake_endpoints.h
+++ b/packages/node/tests/fake_endpoints.h
@@ -99,12 +99,26 @@
     return bytes;
   }
 
+  /// Ends the sending direction only, with FIN.
+  void ShutdownSend()
+  {
+    ErrorCode ignored;
+    this->socket.shutdown(Tcp::socket::shutdown_send, ignored);
+  }
+
   void Close()
   {
     ErrorCode ignored;
     this->socket.close(ignored);
   }
 
+  /// Closes the connection with RST.
+  void Reset()
+  {
+    this->socket.set_option(asio::socket_base::linger(true, 0));
+    this->Close();
+  }
+
 private:
   Tcp::socket socket;
   beast::flat_buffer buffer;
--- a/packages/node/tests/outgoing_exchange_test.cc
+++ b/packages/node/tests/outgoing_exchange_test.cc
@@ -1,5 +1,6 @@
 // Guards against an exchange that reports NothingSent although the other side received the request:
-// the caller would be told that its request did not run, and it runs.
+// the caller would be told that its request did not run, and it runs. Guards also against a
+// truncated or invalid answer that is reported as complete.
 #include "node/outgoing_exchange.h"
 
 #include <memory>
@@ -22,7 +23,7 @@
 class OutgoingExchangeTest : public testing::Test
 {
 protected:
-  void Start()
+  void Start(const std::string& aBody = "booking", Duration aTimeout = kTimeout)
   {
     http::request_header<> header;
     header.method(http::verb::post);
@@ -31,15 +32,26 @@
       this->network,
       { .endpoint = this->server.Endpoint(),
         .header = header,
-        .body = std::make_shared<const std::string>("booking"),
-        .timeout = kTimeout,
-        .silenceLimit = std::nullopt },
+        .body = std::make_shared<const std::string>(aBody),
+        .timeout = aTimeout,
+        .silenceLimit = std::nullopt,
+        .allowCloseDelimited = true },
       [this](OutgoingResult aResult) { this->result.emplace(std::move(aResult)); });
   }
 
   /// Runs the first handler of the exchange, which begins to connect.
   void BeginToConnect() { this->io.run_one(); }
 
+  /// Starts an exchange whose request is being written, or is written if it is short.
+  FakeConnection BeginToWrite(const std::string& aBody)
+  {
+    this->Start(aBody, std::chrono::seconds(20));
+    this->BeginToConnect();
+    FakeConnection connection = this->server.Accept();
+    this->io.run_one();
+    return connection;
+  }
+
   ManualClock clock{ Time(std::chrono::hours(1)) };
   asio::io_context io;
   ConnectionPool pool;
@@ -95,5 +107,88 @@
   EXPECT_EQ(connection.ReadRequest().body(), "booking");
 }
 
+/// More than the system buffers between two ends.
+const std::string kUpload(16U << 20U, 'u');
+const std::string kPart = "HTTP/1.1 200 OK\r\n\r\npart";
+
+// Guards against a part of an answer that counts as complete: the failed write takes the error of
+// the reset, and the read after it sees a clean end.
+TEST_F(OutgoingExchangeTest, ResetDuringTheUploadIsNoEndOfAnAnswer)
+{
+  FakeConnection connection = this->BeginToWrite(kUpload);
+  connection.Write(kPart);
+  connection.Reset();
+  this->io.run();
+  EXPECT_TRUE(std::holds_alternative<ConnectionBroken>(this->result.value()));
+}
+
+// Guards against an end that is clean but comes before the request is written whole.
+TEST_F(OutgoingExchangeTest, EndDuringTheUploadIsNoEndOfAnAnswer)
+{
+  FakeConnection connection = this->BeginToWrite(kUpload);
+  connection.Write(kPart);
+  connection.ShutdownSend();
+  connection.Close(); // with RST, since the request is not read
+  this->io.run();
+  EXPECT_TRUE(std::holds_alternative<ConnectionBroken>(this->result.value()));
+}
+
+// Guards against a reset that counts as the end of an answer to a request that was written whole.
+TEST_F(OutgoingExchangeTest, ResetAfterTheRequestIsNoEndOfAnAnswer)
+{
+  FakeConnection connection = this->BeginToWrite("booking");
+  connection.ReadRequest();
+  connection.Write(kPart);
+  connection.Reset();
+  this->io.run();
+  EXPECT_TRUE(std::holds_alternative<ConnectionBroken>(this->result.value()));
+}
+
+// Guards against a refusal of an upload, or an answer without a length, that counts as broken.
+TEST_F(OutgoingExchangeTest, CompleteAnswersStayComplete)
+{
+  FakeConnection refusing = this->BeginToWrite(kUpload);
+  refusing.Write("HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy");
+  refusing.Reset();
+  this->io.run();
+  EXPECT_TRUE(std::holds_alternative<CompleteAnswer>(this->result.value()));
+  this->result.reset();
+  this->io.restart();
+  FakeConnection connection = this->BeginToWrite("booking");
+  connection.ReadRequest();
+  connection.Write(kPart);
+  connection.Close();
+  this->io.run();
+  EXPECT_TRUE(std::holds_alternative<CompleteAnswer>(this->result.value()));
+}
+
+// Guards against a status that no caller can read, or that promises that nothing ran.
+TEST_F(OutgoingExchangeTest, InvalidStatusIsNoAnswer)
+{
+  const std::string endless = "HTTP/1.1 102 Processing\r\n\r\n";
+  std::string interim;
+  for (unsigned count = 0; count <= OutgoingExchange::kMaxInterimAnswers; ++count) {
+    interim += endless;
+  }
+  for (const std::string& bytes : { std::string("HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n"),
+                                    std::string("HTTP/1.1 099 X\r\nContent-Length: 0\r\n\r\n"),
+                                    std::string("HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n"),
+                                    std::string("HTTP/1.1 999 X\r\n\r\nbody"),
+                                    std::string("HTTP/1.1 101 Switching\r\n\r\n"),
+                                    std::string("HTTP/1.1 200 OK\r\nHTTP/1.1 200 OK\r\n"
+                                                "Content-Length: 0\r\n\r\n"),
+                                    interim }) {
+    SCOPED_TRACE(bytes.substr(0, 40));
+    FakeConnection connection = this->BeginToWrite("booking");
+    connection.ReadRequest();
+    connection.Write(bytes);
+    connection.ShutdownSend();
+    this->io.run();
+    EXPECT_TRUE(std::holds_alternative<ConnectionBroken>(this->result.value()));
+    this->result.reset();
+    this->io.restart();
+  }
+}
+
 } // namespace
 } // namespace jackdawwind::node
