Read a pipelined request that arrived before the answer to the one ahead

Cause: while an answer is awaited the connection is read, in order to notice a disconnect. If a whole further request was in the buffer when the answer was written, the pending read waited for bytes that never come, and the request stayed unread until the idle limit of 60 s.

Ruled out: a loss in the buffer; its bytes are kept.

Change: the pending read is cancelled after an answer if the buffer holds bytes, and the next header section is read from the buffer.

Before: ProxyFixture.ReadsThePipelinedRequestBehindARefusedOne waited 20 s for the second request and failed. After: it passes, with the other 16 tests of OutgoingExchangeTest, ProxyFixture and FullRingFixture.

Conclusion: what stands behind a closing response, and memory under a client that does not read, are not tested yet.

--- a/packages/node/server_connection.cc
+++ b/packages/node/server_connection.cc
@@ -257,7 +257,7 @@
   if (!this->open) {
     return;
   }
-  if (aError) {
+  if (aError && aError != asio::error::operation_aborted) {
     // A client that only shuts down its sending side looks the same as one that disconnected.
     this->Close();
     return;
@@ -350,8 +350,13 @@
   } else if (!this->keepAlive) {
     this->Linger();
   } else if (this->watching) {
-    // The pending read receives the first bytes of the next request.
+    // The pending read receives the first bytes of the next request, unless they are in the buffer:
+    // then it is cancelled, since no further byte may come.
     this->timer.Arm(kHeaderTimeout, [self = this->shared_from_this()] { self->Close(); });
+    if (this->buffer.size() > 0) {
+      ErrorCode ignored;
+      this->socket.cancel(ignored);
+    }
   } else {
     this->ReadHeader();
   }
--- a/packages/node/tests/proxy_io_test.cc
+++ b/packages/node/tests/proxy_io_test.cc
@@ -195,6 +195,19 @@
   EXPECT_EQ(this->Await<AttemptEnded>().Outcome(), AttemptOutcome(ConnectFailed()));
 }
 
+// Guards against a pipelined request that stays unread after the answer before it, although its
+// bytes have arrived.
+TEST_F(ProxyFixture, ReadsThePipelinedRequestBehindARefusedOne)
+{
+  FakeConnection caller = this->ConnectCaller();
+  caller.Write(kGet + kGet);
+  const std::uint64_t first = this->Await<CallArrived>().Exchange();
+  this->proxy->Submit(
+    Refuse({ .exchange = first, .code = ResultCode::kNodeBusy, .run = RunState::kNotRun }));
+  ASSERT_TRUE(caller.ReadResponse());
+  EXPECT_GT(this->Await<CallArrived>().Exchange(), first);
+}
+
 TEST_F(ProxyFixture, AcceptsOnlySealedCallsAndSendsInterimResponses)
 {
   FakeConnection forger = this->Connect(this->proxy->ListenPorts().peerCalls);
