--- a/packages/node/server_connection.cc
+++ b/packages/node/server_connection.cc
@@ -490,7 +490,8 @@
   if (this->watching && this->buffer.size() > 0) {
     // Nothing is being written now, so that this ends the read only. Without it the buffered
     // request would wait for further bytes of the client.
-    this->socket.cancel();
+    ErrorCode ignored;
+    this->socket.cancel(ignored);
   }
   if (!this->pending.empty()) {
     this->WriteAnswer();
