Compute the cost of a distance in one place

The picks by distance and by time had the same rule twice, with other weights. decisions_test 190 of 190; the recorded picks without a policy are unchanged.

--- a/packages/decisions/mesh/node_picker.cc
+++ b/packages/decisions/mesh/node_picker.cc
@@ -156,9 +156,10 @@
 }
 
 double
-NodePicker::DistanceCost(const Candidate& aCandidate, std::uint64_t aBodyBytes)
+NodePicker::DistanceCost(const Candidate& aCandidate, std::uint64_t aBodyBytes) const
 {
   const double kilobytes = static_cast<double>(aBodyBytes) / kBytesPerKilobyte;
+  const std::optional<RegionPolicy>& policy = this->options.policy;
   if (aCandidate.isSelf) {
     return kSameNodeCost;
   }
@@ -166,14 +167,16 @@
     case Distance::kOwnDomain:
       return kSameDomainCost;
     case Distance::kOwnRegion:
-      return kSameRegionCost + kilobytes * kSameRegionCostPerKilobyte;
+      return kSameRegionCost +
+             kilobytes * (policy ? policy->BytesWeight() : kSameRegionCostPerKilobyte);
     default:
-      return kOtherRegionCost + kilobytes * kOtherRegionCostPerKilobyte;
+      return kOtherRegionCost +
+             kilobytes * (policy ? policy->OtherRegionBytesWeight() : kOtherRegionCostPerKilobyte);
   }
 }
 
 double
-NodePicker::CostOf(const Candidate& aCandidate, std::uint64_t aBodyBytes, Time aNow)
+NodePicker::CostOf(const Candidate& aCandidate, std::uint64_t aBodyBytes, Time aNow) const
 {
   const Record& record = *aCandidate.record;
   const double age = Seconds(aNow - record.loadAt);
@@ -182,7 +185,8 @@
     std::max(record.load * freshness + record.sentSinceReport * record.loadPerRequest,
              record.inFlight * record.loadPerRequest);
   const double excess = std::max(load - kBusyLoad, 0.0);
-  return DistanceCost(aCandidate, aBodyBytes) + load * kCostPerLoad + excess * kBusyCostPerLoad;
+  return this->DistanceCost(aCandidate, aBodyBytes) + load * kCostPerLoad +
+         excess * kBusyCostPerLoad;
 }
 
 std::optional<PeerAddress>
@@ -218,8 +222,8 @@
     }
     // Excluded and suspect nodes are selected only if there is no other candidate.
     const bool excluded = candidate.suspect || candidate.record->excludedUntil > aNow;
-    const double cost =
-      CostOf(candidate, aCriteria.bodyBytes, aNow) + this->random.Fraction() * kMaxTieBreakCost;
+    const double cost = this->CostOf(candidate, aCriteria.bodyBytes, aNow) +
+                        this->random.Fraction() * kMaxTieBreakCost;
     if (best == nullptr || (bestExcluded && !excluded) ||
         (bestExcluded == excluded && cost < bestCost)) {
       best = &candidate;
@@ -233,23 +237,6 @@
   return best->address;
 }
 
-double
-NodePicker::PolicyDistanceCost(const Candidate& aCandidate, std::uint64_t aBodyBytes) const
-{
-  const double kilobytes = static_cast<double>(aBodyBytes) / kBytesPerKilobyte;
-  if (aCandidate.isSelf) {
-    return kSameNodeCost;
-  }
-  switch (aCandidate.distance) {
-    case Distance::kOwnDomain:
-      return kSameDomainCost;
-    case Distance::kOwnRegion:
-      return kSameRegionCost + kilobytes * this->options.policy->BytesWeight();
-    default:
-      return kOtherRegionCost + kilobytes * this->options.policy->OtherRegionBytesWeight();
-  }
-}
-
 double
 NodePicker::ReportWeight(const Record& aRecord, Duration aLifetime, Time aNow)
 {
@@ -309,7 +296,7 @@
     const TargetSpeed::Estimate& time = times[index];
     const double expected =
       time.expected > Duration::zero() ? Milliseconds(time.expected) : kUnknownTime;
-    const double distanceCost = this->PolicyDistanceCost(candidate, aCriteria.bodyBytes);
+    const double distanceCost = this->DistanceCost(candidate, aCriteria.bodyBytes);
     const double crowding = std::max(load - kBusyLoad, 0.0) * kCrowdingPerLoad;
     const double discount = time.known ? 1 : kUnknownDiscount;
     const bool excluded = candidate.suspect || record.excludedUntil > aNow;
--- a/packages/decisions/mesh/node_picker.h
+++ b/packages/decisions/mesh/node_picker.h
@@ -201,8 +201,9 @@
   };
 
   Distance DistanceTo(const Member& aMember) const;
-  static double DistanceCost(const Candidate& aCandidate, std::uint64_t aBodyBytes);
-  static double CostOf(const Candidate& aCandidate, std::uint64_t aBodyBytes, Time aNow);
+  /// Cost of the distance in milliseconds, with the weights of the policy if there is one.
+  double DistanceCost(const Candidate& aCandidate, std::uint64_t aBodyBytes) const;
+  double CostOf(const Candidate& aCandidate, std::uint64_t aBodyBytes, Time aNow) const;
   /// Whether the candidate's domain is in service and its region allowed.
   static bool MayServe(const Candidate& aCandidate, const Criteria& aCriteria);
   std::optional<PeerAddress> PickByDistance(const Candidates& aCandidates,
@@ -211,8 +212,6 @@
   std::optional<PeerAddress> PickByTime(const Candidates& aCandidates,
                                         const Criteria& aCriteria,
                                         Time aNow);
-  /// Cost of the distance in milliseconds with the weights of the policy.
-  double PolicyDistanceCost(const Candidate& aCandidate, std::uint64_t aBodyBytes) const;
   /// Weight of a load report, which falls from 1 to 0 within aLifetime.
   static double ReportWeight(const Record& aRecord, Duration aLifetime, Time aNow);
   /// Means of the reported loads.
