--- a/review/standins-2/testbed.py
+++ b/review/standins-2/testbed.py
@@ -381,6 +381,8 @@
         self.host = f"127.{bed.network[0]}.{bed.network[1]}.{index + 2}"
         self.ports = {}
         self.process = None
+        # Port of the store for this node alone; None for the one of all nodes.
+        self.store_port = None
         self.first_start = True
         for role in ("outbound", "inbound", "ready", "control", "app"):
             self.ports[role] = self.free_port()
@@ -438,7 +440,7 @@
             "app_addr": f"{self.host}:{self.ports['app']}",
             "service": self.service,
             "platform": {
-                "address": f"{self.bed.store.host}:{self.bed.store.port}",
+                "address": f"{self.bed.store.host}:{self.store_port or self.bed.store.port}",
                 "form": "log",
                 "writes_per_s": 400,
                 "reads_per_s": 2000,
