--- a/review/6/case.py
+++ b/review/6/case.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import os
 import signal
 import sys
 import time
@@ -160,4 +161,7 @@
     return worst <= bound
 
 
-testbed.run_case(case, Path(__file__).resolve().parent)
+# TROUBLE=0 runs the case without its disruption.
+testbed.run_case(
+    case, Path(__file__).resolve().parent, trouble=os.environ.get("TROUBLE", "1") != "0"
+)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import os
 import sys
 import time
 from pathlib import Path
@@ -146,4 +147,7 @@
     return not late
 
 
-testbed.run_case(case, Path(__file__).resolve().parent)
+# TROUBLE=0 runs the case without its disruption.
+testbed.run_case(
+    case, Path(__file__).resolve().parent, trouble=os.environ.get("TROUBLE", "1") != "0"
+)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import os
 import signal
 import sys
 import time
@@ -118,4 +119,7 @@
     return not late_runs
 
 
-testbed.run_case(case, Path(__file__).resolve().parent)
+# TROUBLE=0 runs the case without its disruption.
+testbed.run_case(
+    case, Path(__file__).resolve().parent, trouble=os.environ.get("TROUBLE", "1") != "0"
+)
--- a/review/standins-2/testbed.py
+++ b/review/standins-2/testbed.py
@@ -610,12 +610,11 @@
     }
 
 
-def run_case(case, folder):
+def run_case(case, folder, trouble):
     """Runs `await case(bed_factory, trouble)`; it returns True if the rule was kept.
 
     The exit status is 0 if the rule was kept, 1 if it was broken and 2 if the case could not run.
     """
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     beds = []
 
     def bed_factory(nodes):
