Prove contact with the store by answered reads

Cause: a reader announced contact to its domain while a long poll was open and a connection to the store could be opened and was ended by it. A store that accepts calls and answers none passes that check, so nobody stood in, and the reader waited 32.5 s for the lost answer.

Ruled out: the gossip (other domains got the change at once when they read it), the backoff of the stand-ins (none started; the log has no event 408 before).

The second keeps its long poll and reports nothing until the first is silent. A reader that begins to verify reads first.

StoreReaders' tests ask for the mode instead of a flag.

--- a/packages/decisions/mesh/mesh_core.cc
+++ b/packages/decisions/mesh/mesh_core.cc
@@ -441,7 +441,7 @@
     }
     const bool ask = report == StoreEra::Report::kAsk;
     if (ask) {
-      aEffects.push_back(FollowStore({ .active = this->followsStore, .era = aEra }));
+      aEffects.push_back(FollowStore({ .following = this->following, .era = aEra }));
     }
     AddLogLine(aEffects,
                ask ? LogEvent::kStoreEraReported : LogEvent::kStoreEraIgnored,
@@ -517,20 +517,23 @@
   /// that its peers have.
   void UpdateStoreReader(Time aNow, Effects& aEffects)
   {
-    const bool reader = this->storeReaders.ShouldFollow(aNow);
-    const bool wanted = reader || this->configuration.Table() == nullptr ||
-                        this->configuration.IsBehind(aNow) || this->quota.IsIsolated(aNow);
-    if (wanted == this->followsStore) {
+    const StoreFollowing forDomain = this->storeReaders.Update(aNow);
+    const bool forItself = this->configuration.Table() == nullptr ||
+                           this->configuration.IsBehind(aNow) || this->quota.IsIsolated(aNow);
+    const StoreFollowing wanted = forItself ? StoreFollowing::kVerifying : forDomain;
+    if (wanted == this->following) {
       return;
     }
-    this->followsStore = wanted;
-    aEffects.push_back(FollowStore({ .active = wanted, .era = 0 }));
+    const bool active = wanted != StoreFollowing::kNone;
+    this->following = wanted;
+    aEffects.push_back(FollowStore({ .following = wanted, .era = 0 }));
     aEffects.push_back(
-      MetricUpdated({ .metric = Metric::kStoreReader, .value = wanted ? 1.0 : 0.0 }));
+      MetricUpdated({ .metric = Metric::kStoreReader, .value = active ? 1.0 : 0.0 }));
     AddLogLine(aEffects,
-               wanted ? LogEvent::kStoreReaderStarted : LogEvent::kStoreReaderStopped,
-               "rank=" + std::to_string(this->storeReaders.Rank()) +
-                 " for_domain=" + (reader ? "yes" : "no") +
+               active ? LogEvent::kStoreReaderStarted : LogEvent::kStoreReaderStopped,
+               "mode=" + std::string(ToText(wanted)) +
+                 " rank=" + std::to_string(this->storeReaders.Rank()) +
+                 " for_domain=" + (forDomain == StoreFollowing::kNone ? "no" : "yes") +
                  " version=" + std::to_string(this->configuration.Version()));
   }
 
@@ -623,7 +626,7 @@
   Phase phase = Phase::kBooting;
   Time startedAt{};
   std::uint64_t appliedChanges = 0;
-  bool followsStore = true;
+  StoreFollowing following = StoreFollowing::kVerifying;
 };
 
 MeshCore::MeshCore(Options aOptions)
--- a/packages/decisions/mesh/store_readers.cc
+++ b/packages/decisions/mesh/store_readers.cc
@@ -67,6 +67,9 @@
 Duration
 StoreReaders::StageDelay() const
 {
+  if (this->IsElected()) {
+    return Duration::zero();
+  }
   std::size_t before = this->rank - kStoreReadersPerDomain;
   Duration delay = Duration::zero();
   for (std::size_t size = kFirstStage; before >= size; size *= 2) {
@@ -76,24 +79,27 @@
   return delay;
 }
 
-bool
-StoreReaders::ShouldFollow(Time aNow)
+StoreFollowing
+StoreReaders::Update(Time aNow)
 {
-  if (this->IsElected()) {
-    this->following = true;
-  } else if (this->following) {
-    this->following = !this->IsRelieved(aNow);
+  if (this->IsFirst()) {
+    this->verifying = true;
+  } else if (this->verifying) {
+    this->verifying = !this->IsRelieved(aNow);
   } else {
-    this->following = aNow >= this->StandInAt();
+    this->verifying = aNow >= this->StandInAt();
+  }
+  if (this->verifying) {
+    return StoreFollowing::kVerifying;
   }
-  return this->following;
+  return this->IsElected() ? StoreFollowing::kPassive : StoreFollowing::kNone;
 }
 
 std::vector<SendPeer>
 StoreReaders::Announce(const StoreContact& aContact) const
 {
   std::vector<SendPeer> messages;
-  if (!this->following) {
+  if (!this->verifying) {
     return messages;
   }
   messages.reserve(this->peers.size());
@@ -112,7 +118,7 @@
 Time
 StoreReaders::NextWake() const
 {
-  return this->following ? Time::max() : this->StandInAt();
+  return this->verifying ? Time::max() : this->StandInAt();
 }
 
 } // namespace jackdawwind
--- a/packages/decisions/mesh/store_readers.h
+++ b/packages/decisions/mesh/store_readers.h
@@ -1,10 +1,9 @@
-// Decides whether this node follows the platform's store, and tells its failure domain that it
-// does.
+// Decides how this node follows the platform's store, and tells its failure domain that it does.
 //
 //   StoreReaders readers("a3");
 //   readers.SetMembers(members);                 // after every change
 //   readers.Receive(contact, now);               // StoreContact of another node
-//   if (readers.ShouldFollow(now)) { ... follow the store ... }
+//   switch (readers.Update(now)) { ... kNone, kPassive, kVerifying ... }
 //   for (const SendPeer& message : readers.Announce(contact)) { ... }   // on StoreReached
 //
 // If every node followed the store, its calls would grow with the fleet. The first
@@ -13,16 +12,20 @@
 // member table, without messages. Two tables may differ for a while; then a domain has more
 // readers.
 //
-// A reader may be cut off from the store, and its open long poll does not show that for seconds. It
-// therefore verifies about twice a second that it reaches the store and then sends StoreContact to
-// its domain. A node that has received none for kContactLifetime stands in. Stand-ins start in
-// stages by their rank, kFirstStage nodes first and twice as many in each further stage, so that
-// the store isn't read by a whole domain at once; the first one that reaches the store announces
-// itself, which ends the wait of the others. With 100 nodes in a domain the last stage starts 0.4 s
-// after the first.
+// A reader may be cut off from the store, or the store may accept its calls and not answer them,
+// and its open long poll does not show that for seconds. The first reader therefore verifies its
+// contact: it reads the store anew at short intervals, checks about twice a second that it reaches
+// it, and then sends StoreContact to its domain. The second reader only keeps a long poll open, so
+// that a change still arrives at once when the first one is lost. A node that has received no
+// contact for kContactLifetime, the second reader included, stands in: it verifies as well.
+// Stand-ins start in stages by their rank, kFirstStage nodes first and twice as many in each
+// further stage, so that the store isn't read by a whole domain at once; the first one that reaches
+// the store announces itself, which ends the wait of the others. With 100 nodes in a domain the
+// last stage starts 0.4 s after the first.
 //
-// A stand-in stops when an elected reader, or as many stand-ins of lower rank as there are readers,
-// are in contact. Only nodes of the own domain count, so each side of a partition has readers.
+// A stand-in stops when another elected reader, or as many stand-ins of lower rank as there are
+// readers, are in contact. Only nodes of the own domain count, so each side of a partition has
+// readers.
 //
 // SetMembers is linear in the number of members; the other operations are linear in the number of
 // nodes that follow the store.
@@ -62,19 +65,20 @@
   void SetMembers(const Members& aMembers);
   /// Notes that another node reaches the store. Ignored unless it is of the own domain.
   void Receive(const StoreContact& aContact, Time aNow);
-  /// Decides whether this node follows the store from now on.
-  bool ShouldFollow(Time aNow);
+  /// Decides how this node follows the store from now on.
+  StoreFollowing Update(Time aNow);
   /// Messages with aContact to the domain after this node has reached the store; none unless it
-  /// follows.
+  /// verifies its contact.
   std::vector<SendPeer> Announce(const StoreContact& aContact) const;
 
-  /// Time at which ShouldFollow may change without a message; Time::max() if it can't.
+  /// Time at which the result of Update may change without a message; Time::max() if it can't.
   Time NextWake() const;
   /// Number of alive members of the domain before this node in the order of ids.
   std::size_t Rank() const { return this->rank; }
 
 private:
   bool IsElected() const { return this->rank < kStoreReadersPerDomain; }
+  bool IsFirst() const { return this->rank == 0; }
   /// Whether other nodes are in contact that make this stand-in needless.
   bool IsRelieved(Time aNow) const;
   Duration StageDelay() const;
@@ -90,7 +94,7 @@
   std::map<std::string, Time> contacts;
   /// Latest contact of any node of the domain.
   Time lastContact{};
-  bool following = true;
+  bool verifying = true;
 };
 
 } // namespace jackdawwind
--- a/packages/decisions/tests/store_readers_test.cc
+++ b/packages/decisions/tests/store_readers_test.cc
@@ -66,14 +66,17 @@
     for (const Time end = this->now + aTime; this->now < end;) {
       this->now += kStep;
       for (auto& [name, node] : this->nodes) {
-        const bool before = node.follows;
-        node.follows = node.readers->ShouldFollow(this->now);
-        if (node.follows && !before) {
+        const StoreFollowing before = node.following;
+        node.following = node.readers->Update(this->now);
+        if (node.following != StoreFollowing::kNone && before == StoreFollowing::kNone) {
           this->starts.push_back(this->now);
+        }
+        const bool verifies = node.following == StoreFollowing::kVerifying;
+        if (verifies && before != StoreFollowing::kVerifying) {
           // A read of the store ends after the step, and its end confirms the contact.
           node.nextCheck = this->now + kStep;
         }
-        if (node.follows && this->now >= node.nextCheck) {
+        if (verifies && this->now >= node.nextCheck) {
           node.nextCheck = this->now + kCheckInterval;
           this->Announce(name, node);
         }
@@ -85,18 +88,23 @@
   {
     std::set<std::string> names;
     for (const auto& [name, node] : this->nodes) {
-      if (node.follows) {
+      if (node.following != StoreFollowing::kNone) {
         names.insert(name);
       }
     }
     return names;
   }
 
+  StoreFollowing FollowingOf(const std::string& aNode) const
+  {
+    return this->nodes.at(aNode).following;
+  }
+
   /// Whether a node that reaches the store follows it.
   bool IsRead() const
   {
     return std::any_of(this->nodes.begin(), this->nodes.end(), [](const auto& aEntry) {
-      return aEntry.second.follows && aEntry.second.reachesStore;
+      return aEntry.second.following != StoreFollowing::kNone && aEntry.second.reachesStore;
     });
   }
 
@@ -108,7 +116,7 @@
     std::unique_ptr<StoreReaders> readers;
     Time nextCheck{};
     bool reachesStore = true;
-    bool follows = false;
+    StoreFollowing following = StoreFollowing::kNone;
   };
 
   void Announce(const std::string& aName, const Node& aNode)
@@ -166,6 +174,24 @@
   EXPECT_EQ(domain.Following(), (std::set<std::string>{ "a1000", "a1001" }));
 }
 
+// Guards against a second reader whose long poll is taken for contact although its answer is lost.
+TEST(StoreReaders, SecondReaderVerifiesOnlyWhileTheFirstHasNoContact)
+{
+  FakeDomain domain(16);
+  domain.Advance(seconds(3));
+  EXPECT_EQ(domain.FollowingOf("a1000"), StoreFollowing::kVerifying);
+  EXPECT_EQ(domain.FollowingOf("a1001"), StoreFollowing::kPassive);
+  domain.CutAllBut({ "a1001" });
+  domain.Advance(StoreReaders::kContactLifetime + milliseconds(50));
+  EXPECT_EQ(domain.FollowingOf("a1001"), StoreFollowing::kVerifying);
+  domain.Advance(seconds(2));
+  EXPECT_EQ(domain.Following(), (std::set<std::string>{ "a1000", "a1001" }));
+  domain.CutAllBut({ "a1000" });
+  domain.Advance(seconds(2));
+  EXPECT_EQ(domain.FollowingOf("a1001"), StoreFollowing::kPassive);
+  EXPECT_TRUE(domain.IsRead());
+}
+
 TEST(StoreReaders, SingleLostMessagesStartNoStandIn)
 {
   FakeDomain domain(100);
@@ -231,11 +257,11 @@
   readers.SetMembers(members);
   const Time start = Time{} + seconds(1);
   readers.Receive(StoreContact({ .sender = PeerAddress({ .node = "a1" }) }), start);
-  EXPECT_FALSE(readers.ShouldFollow(start));
+  EXPECT_EQ(readers.Update(start), StoreFollowing::kNone);
   readers.Receive(StoreContact({ .sender = PeerAddress({ .node = "b1" }) }),
                   start + milliseconds(600));
   EXPECT_EQ(readers.NextWake(), start + StoreReaders::kContactLifetime);
-  EXPECT_TRUE(readers.ShouldFollow(readers.NextWake()));
+  EXPECT_EQ(readers.Update(readers.NextWake()), StoreFollowing::kVerifying);
 }
 
 } // namespace
