Record departures of targets in the store before they are acknowledged

Cause: an acknowledged departure was kept only in the memory of the node and of up to six others. A report was acknowledged as soon as it was queued, and a process that has just started used the first heartbeat that it got.

Ruled out: holders that miss the message (all of them restart here), the order of heartbeats (without the kill the late one is stale, event 306). Not chosen: two reports before the first request (two may be late; 1.5 s without the target at each start), a health check (takes a slot, and may be wrong).

Change: DepartureLog records a departure in the store, in the registry's topic, and answers the report when this is acknowledged, or 503 after 0.9 s. A new process uses no heartbeat until it has read the recorded departures, which the read of the registry at each start includes, or until 8 s have passed if the store can't be read. Records have a key each, so that late appends are harmless, and are removed after ten minutes. Departures for a service that is not listed, and those without a start time, are recorded too; the first were acknowledged and dropped, the second not passed on.

Tests: MeshCore.DepartedTargetIsNotUsedAfterAllNodesRestart and MeshCore.RestartedNodeUsesOnlyLaterReportsWhileTheStoreIsAway fail with the read departures not applied and heartbeats used at once (160 failed checks).

Conclusion: an acknowledged departure outlives every process. Cost: a call to the store for each departure.

--- a/packages/decisions/mesh/departed_targets.h
+++ b/packages/decisions/mesh/departed_targets.h
@@ -4,12 +4,12 @@
 //   } departed.Receive(message, now);                        // at a holder for (const SendPeer&
 //   told : departed.TakeDue(members, now)) { ... }   // after member changes
 //
-// A node acknowledges that its target leaves and keeps this in memory only. If it restarts before
-// the target has ended, a heartbeat from before the acknowledgement may arrive late, and to the new
-// process the target looks ready. So the node tells a few others, and each of them tells the new
-// process as soon as it sees the restart, and again if that process announces a ready target.
-// Messages may be lost; one holder is enough. The knowledge is lost only if all holders restart as
-// well.
+// A node acknowledges that its target leaves. If it restarts before the target has ended, a
+// heartbeat from before the acknowledgement may arrive late, and to the new process the target
+// looks ready. The departure is in the platform's store (departure_log.h), which the new process
+// may not reach. So the node also tells a few others, and each of them tells the new process as
+// soon as it sees the restart, and again if that process announces a ready target. Messages may be
+// lost; one holder is enough.
 //
 // TakeDue is linear in the number of departures kept, which is zero in a fleet at rest.
 #pragma once
--- a/packages/decisions/mesh/mesh_core.cc
+++ b/packages/decisions/mesh/mesh_core.cc
@@ -11,6 +11,7 @@
 #include "decisions/graceful_shutdown.h"
 #include "decisions/membership/membership.h"
 #include "decisions/mesh/departed_targets.h"
+#include "decisions/mesh/departure_log.h"
 #include "decisions/mesh/entry_requests.h"
 #include "decisions/mesh/evacuation.h"
 #include "decisions/mesh/residency.h"
@@ -44,6 +45,9 @@
 /// shutdown.
 constexpr Duration kHopDeadlinesInterval = std::chrono::milliseconds(300);
 
+/// Heartbeats kept until the recorded departures are read; a target sends one in a second or two.
+constexpr std::size_t kMaxEarlyReports = 16;
+
 /// Zero if no route has an objective.
 Duration
 ShortestObjective(const MeshConfiguration& aConfiguration)
@@ -93,6 +97,7 @@
   {
     Effects effects;
     this->startedAt = aNow;
+    this->departures.Start(aNow);
     this->membership.Start(aNow, effects);
     this->ProcessPendingWork(aNow, effects);
     return effects;
@@ -119,6 +124,7 @@
                       this->quota.NextWake(),
                       this->target.NextWake(),
                       this->shutdown.NextWake(),
+                      this->departures.NextWake(),
                       this->storeReaders.NextWake(),
                       this->picker.NextWake(),
                       this->nextHopDeadlines,
@@ -173,27 +179,56 @@
   void On(const TargetHeartbeat& aEvent, Time aNow, Effects& aEffects)
   {
     const RouteTable* table = this->configuration.Table();
-    if (table != nullptr && !table->HasService(aEvent.GetService())) {
+    const bool leaves = aEvent.State() == TargetState::kDraining;
+    // A departure is used for any service: it is acknowledged, and a later version may list the
+    // service again.
+    if (!leaves && table != nullptr && !table->HasService(aEvent.GetService())) {
       AddLogLine(aEffects,
                  LogEvent::kBeatRejected,
                  "instance=" + aEvent.Instance() + " service=" + aEvent.GetService() +
                    " reason=unknown_service");
       return;
     }
+    if (!leaves && !this->departures.MayUseReports(aNow)) {
+      if (this->earlyReports.size() < kMaxEarlyReports) {
+        this->earlyReports.push_back(aEvent);
+      }
+      return;
+    }
     if (this->target.Receive(aEvent, aNow, aEffects)) {
       this->PublishTarget(aNow, aEffects);
-      if (aEvent.State() == TargetState::kDraining && aEvent.StartedAtMs() != 0) {
-        this->ReportDeparture(aEvent.Instance(), aEvent.StartedAtMs(), aEffects);
-      }
+    }
+    if (leaves) {
+      this->ReportDeparture(
+        aEvent.Instance(), aEvent.StartedAtMs(), aEvent.Report(), aNow, aEffects);
     }
   }
   void On(const TargetDeregistered& aEvent, Time aNow, Effects& aEffects)
   {
+    const std::optional<TargetHeartbeat>& current = this->target.Registration().Current();
+    const bool known = current && current->Instance() == aEvent.Instance();
+    const std::uint64_t lastStart = known ? current->StartedAtMs() : aEvent.ReceivedAtMs();
     if (this->target.Receive(aEvent, aNow, aEffects)) {
       this->PublishTarget(aNow, aEffects);
     }
     this->ReportDeparture(
-      aEvent.Instance(), aEvent.StartedAtMs().value_or(aEvent.ReceivedAtMs()), aEffects);
+      aEvent.Instance(), aEvent.StartedAtMs().value_or(lastStart), aEvent.Report(), aNow, aEffects);
+  }
+  void On(const DeparturesRead& aEvent, Time aNow, Effects& aEffects)
+  {
+    for (const TargetDeparted& departure : aEvent.Departures()) {
+      this->ApplyDeparture(departure, aNow, aEffects);
+    }
+    this->departures.SetRead();
+    std::vector<TargetHeartbeat> early;
+    early.swap(this->earlyReports);
+    for (const TargetHeartbeat& report : early) {
+      this->On(report, aNow, aEffects);
+    }
+  }
+  void On(const DepartureRecorded& aEvent, Time /*aNow*/, Effects& aEffects)
+  {
+    this->departures.Receive(aEvent, aEffects);
   }
   void On(const ConfigurationRead& aEvent, Time aNow, Effects& aEffects)
   {
@@ -344,12 +379,7 @@
       this->departed.Receive(aMessage, aNow);
       return;
     }
-    const TargetDeregistered gone({ .instance = aMessage.Instance(),
-                                    .startedAtMs = aMessage.StartedByMs(),
-                                    .receivedAtMs = aMessage.StartedByMs() });
-    if (this->target.Receive(gone, aNow, aEffects)) {
-      this->PublishTarget(aNow, aEffects);
-    }
+    this->ApplyDeparture(aMessage, aNow, aEffects);
   }
   /// Messages that only NodeCore handles.
   template<typename Other>
@@ -456,17 +486,35 @@
     this->membership.SetTarget(registration.Service(), registration.State(), aNow, aEffects);
   }
 
-  /// Tells the holders that the local target leaves, for the case that this process restarts.
-  void ReportDeparture(const std::string& aInstance, std::uint64_t aStartedByMs, Effects& aEffects)
+  /// Applies a departure that an earlier process of this node has acknowledged.
+  void ApplyDeparture(const TargetDeparted& aDeparture, Time aNow, Effects& aEffects)
+  {
+    const TargetDeregistered gone({ .instance = aDeparture.Instance(),
+                                    .startedAtMs = aDeparture.StartedByMs(),
+                                    .receivedAtMs = aDeparture.StartedByMs() });
+    if (this->target.Receive(gone, aNow, aEffects)) {
+      this->PublishTarget(aNow, aEffects);
+    }
+  }
+
+  /// Records that the local target leaves, which the acknowledgement of the report waits for, and
+  /// tells the holders, for the case that the next process of this node can't read the store.
+  void ReportDeparture(const std::string& aInstance,
+                       std::uint64_t aStartedByMs,
+                       std::uint64_t aReport,
+                       Time aNow,
+                       Effects& aEffects)
   {
     const std::string& self = this->options.self.Node();
+    const TargetDeparted departure({ .node = self,
+                                     .incarnation = this->options.incarnation,
+                                     .instance = aInstance,
+                                     .startedByMs = aStartedByMs });
+    if (!this->departures.Receive(departure, aReport, aNow, aEffects)) {
+      return;
+    }
     for (const PeerAddress& holder : DepartureHolders(self, this->membership.Members())) {
-      aEffects.push_back(
-        SendPeer({ .to = holder,
-                   .message = TargetDeparted({ .node = self,
-                                               .incarnation = this->options.incarnation,
-                                               .instance = aInstance,
-                                               .startedByMs = aStartedByMs }) }));
+      aEffects.push_back(SendPeer({ .to = holder, .message = departure }));
     }
   }
 
@@ -478,6 +526,7 @@
     if (this->target.Poll(aNow, aEffects)) {
       this->PublishTarget(aNow, aEffects);
     }
+    this->departures.Poll(aNow, aEffects);
     this->quota.Poll(aNow, aEffects);
     this->entry.Continue(aNow, aEffects);
     this->picker.Poll(aNow, aEffects);
@@ -616,6 +665,9 @@
   NodePicker picker;
   LocalTarget target;
   DepartedTargets departed;
+  DepartureLog departures;
+  /// Heartbeats that wait for DeparturesRead.
+  std::vector<TargetHeartbeat> earlyReports;
   Evacuation evacuation;
   /// Domains that are evacuated as far as picker and target have been told.
   std::set<std::string> evacuatedDomains;
--- a/packages/decisions/tests/fake_mesh.cc
+++ b/packages/decisions/tests/fake_mesh.cc
@@ -15,6 +15,8 @@
 constexpr Duration kBeatInterval = std::chrono::seconds(1);
 constexpr Duration kSameRegionDelay = milliseconds(1);
 constexpr Duration kCrossRegionDelay = milliseconds(8);
+/// Time until an append to the store is acknowledged.
+constexpr Duration kStoreDelay = milliseconds(5);
 /// Time until a connection to an unreachable node fails.
 constexpr Duration kConnectTimeout = milliseconds(500);
 constexpr std::uint32_t kSuccess = 200;
@@ -130,10 +132,26 @@
         others.push_back(announced);
       }
     }
+    this->ReadDepartures(name);
     this->Deliver(name, PeersRead({ .peers = std::move(others) }));
   });
 }
 
+void
+FakeMesh::ReadDepartures(const std::string& aNode)
+{
+  if (!this->storeAvailable) {
+    return;
+  }
+  std::vector<TargetDeparted> own;
+  for (const TargetDeparted& departure : this->recordedDepartures) {
+    if (departure.Node() == aNode) {
+      own.push_back(departure);
+    }
+  }
+  this->Deliver(aNode, DeparturesRead({ .departures = std::move(own) }));
+}
+
 void
 FakeMesh::Restart(const std::string& aNode)
 {
@@ -343,6 +361,24 @@
                                this->node.host.node + " " +
                                std::string(ToText(aEffect.GetEvent())) + " " + aEffect.Detail());
   }
+  void operator()(const RecordDeparture& aEffect) const
+  {
+    if (!this->mesh.storeAvailable) {
+      return;
+    }
+    this->mesh.recordedDepartures.push_back(aEffect.Departure());
+    this->mesh.ScheduleAfter(
+      kStoreDelay,
+      [&mesh = this->mesh, name = this->node.host.node, departure = aEffect.Departure()] {
+        if (mesh.NodeAt(name).incarnation == departure.Incarnation()) {
+          mesh.Deliver(name, DepartureRecorded({ .departure = departure }));
+        }
+      });
+  }
+  void operator()(const AnswerReport& aEffect) const
+  {
+    this->mesh.reportAnswers[aEffect.Report()] = aEffect.Accepted();
+  }
   void operator()(const PhaseChanged& aEffect) const { this->node.phase = aEffect.GetPhase(); }
   void operator()(const DrainFinished& /*aEffect*/) const { this->node.drained = true; }
   template<typename Other>
--- a/packages/decisions/tests/fake_mesh.h
+++ b/packages/decisions/tests/fake_mesh.h
@@ -136,6 +136,14 @@
   bool Drained(const std::string& aNode) const;
   /// Number of QuotaDraw messages sent to quota owners.
   std::size_t Draws() const { return this->draws; }
+  /// Sets whether the store acknowledges records of departures and lets nodes read them.
+  void SetStoreAvailable(bool aAvailable) { this->storeAvailable = aAvailable; }
+  /// Whether a report with this number was acknowledged; nothing while it is not answered.
+  std::optional<bool> ReportAccepted(std::uint64_t aReport) const
+  {
+    const std::map<std::uint64_t, bool>::const_iterator found = this->reportAnswers.find(aReport);
+    return found == this->reportAnswers.end() ? std::nullopt : std::optional<bool>(found->second);
+  }
   /// Log lines of all nodes, in order.
   const std::vector<std::string>& Lines() const { return this->lines; }
 
@@ -152,6 +160,7 @@
   {
     this->ScheduleAt(this->now + aTime, std::move(aStep));
   }
+  void ReadDepartures(const std::string& aNode);
   void SendBeat(const std::string& aNode);
   void Apply(Node& aNode, const std::vector<Effect>& aEffects);
   void Apply(Node& aNode, const Effect& aEffect);
@@ -181,6 +190,10 @@
   std::set<std::string> partition;
   bool losingMessages = false;
   std::vector<NodeAnnounced> registered;
+  bool storeAvailable = true;
+  /// Departures in the store.
+  std::vector<TargetDeparted> recordedDepartures;
+  std::map<std::uint64_t, bool> reportAnswers;
   std::map<std::uint64_t, Answer> answers;
   std::map<std::uint64_t, std::pair<std::string, std::uint64_t>> origins;
   std::vector<Run> runs;
--- a/packages/decisions/tests/mesh_core_test.cc
+++ b/packages/decisions/tests/mesh_core_test.cc
@@ -1,12 +1,14 @@
 // Tests of MeshCore in simulated fleets of several nodes. They guard against answers that wrongly
 // state "not run", requests that are not idempotent but run twice, new requests at a draining
 // target, configuration rollback, and requests that overload fails after their work is done.
+#include <algorithm>
 #include <chrono>
 #include <string>
 #include <vector>
 
 #include <gtest/gtest.h>
 
+#include "decisions/mesh/departure_log.h"
 #include "decisions/tests/fake_mesh.h"
 #include "decisions/tests/mesh_scenario.h"
 #include "decisions/tests/test_seed.h"
@@ -263,6 +265,121 @@
   }
 }
 
+// A report of the target beside a1.
+TargetHeartbeat
+MakeReport(const std::string& aService,
+           TargetState aState,
+           std::uint64_t aSequence,
+           std::uint64_t aStartedAtMs,
+           std::uint64_t aReport = 0)
+{
+  return TargetHeartbeat({ .instance = "i-a1",
+                           .host = "a1",
+                           .port = 80,
+                           .service = aService,
+                           .state = aState,
+                           .slots = 8,
+                           .sequence = aSequence,
+                           .startedAtMs = aStartedAtMs,
+                           .report = aReport });
+}
+
+// Guards against requests at a target whose departure was acknowledged by processes that are all
+// gone; a report from before it arrives late, at a process that knows nothing.
+TEST(MeshCore, DepartedTargetIsNotUsedAfterAllNodesRestart)
+{
+  constexpr std::uint64_t kReport = 77;
+  const Event cases[] = {
+    MakeReport("fleet", TargetState::kDraining, 900, 1, kReport),
+    MakeReport("fleet", TargetState::kDraining, 900, 0, kReport),
+    // The service is not listed when the target leaves, and is again afterwards.
+    MakeReport("archive", TargetState::kDraining, 900, 1, kReport),
+    TargetDeregistered({ .instance = "i-a1", .startedAtMs = 1, .report = kReport }),
+    TargetDeregistered({ .instance = "i-a1", .receivedAtMs = 5000, .report = kReport }),
+  };
+  const std::vector<std::string> nodes{ "a1", "a2", "b1", "b2", "b3" };
+  for (const Event& departure : cases) {
+    for (const Duration late : { milliseconds(1), milliseconds(700), milliseconds(2200) }) {
+      SCOPED_TRACE(testing::Message() << "case " << &departure - cases << " late " << late.count());
+      FakeMesh mesh(1);
+      StartFleet(mesh);
+      mesh.SetState("a1", TargetState::kNone);
+      mesh.Deliver("a1", departure);
+      mesh.Advance(milliseconds(20));
+      ASSERT_EQ(mesh.ReportAccepted(kReport), true);
+      for (const std::string& node : nodes) {
+        mesh.Restart(node);
+      }
+      mesh.Configure(MakeConfiguration(1));
+      mesh.Advance(late);
+      const bool stated = departure != cases[1];
+      mesh.Deliver("a1", MakeReport("fleet", TargetState::kReady, 1, stated ? 1 : 0));
+      mesh.Advance(milliseconds(2500));
+      for (int index = 0; index < 10; ++index) {
+        mesh.Request("a2", "api", "/fleet/1", "north-key");
+      }
+      mesh.Advance(seconds(1));
+      EXPECT_FALSE(mesh.Runs().empty());
+      for (const FakeMesh::Run& run : mesh.Runs()) {
+        EXPECT_EQ(run.node, "b1");
+      }
+    }
+  }
+}
+
+// Guards against the acknowledgement of a departure that no later process would know.
+TEST(MeshCore, DepartureIsAcknowledgedOnlyOnceItIsInTheStore)
+{
+  FakeMesh mesh(1);
+  StartFleet(mesh);
+  mesh.SetState("a1", TargetState::kNone);
+  mesh.SetStoreAvailable(false);
+  mesh.Deliver("a1", MakeReport("fleet", TargetState::kDraining, 900, 1, 7));
+  mesh.Advance(milliseconds(500));
+  EXPECT_EQ(mesh.ReportAccepted(7), std::nullopt);
+  mesh.Advance(milliseconds(450));
+  EXPECT_EQ(mesh.ReportAccepted(7), false);
+  // The departure is in force all the same.
+  const std::uint64_t request = mesh.Request("a2", "api", "/fleet/1", "north-key");
+  mesh.Advance(seconds(1));
+  EXPECT_EQ(mesh.AnswerTo(request)->status, 200U);
+  EXPECT_EQ(mesh.Runs().back().node, "b1");
+  mesh.SetStoreAvailable(true);
+  mesh.Deliver("a1", MakeReport("fleet", TargetState::kDraining, 901, 1, 8));
+  mesh.Advance(milliseconds(20));
+  EXPECT_EQ(mesh.ReportAccepted(8), true);
+  mesh.Deliver("a1", MakeReport("fleet", TargetState::kDraining, 902, 1, 9));
+  EXPECT_EQ(mesh.ReportAccepted(9), true);
+}
+
+// Guards against a restarted node that uses a report which may be older than an acknowledged
+// departure while it can't read the store, and against one that never uses its target then.
+TEST(MeshCore, RestartedNodeUsesOnlyLaterReportsWhileTheStoreIsAway)
+{
+  FakeMesh mesh(1);
+  StartFleet(mesh);
+  mesh.SetStoreAvailable(false);
+  mesh.Restart("a1");
+  mesh.ConfigureOnly({ "a1" }, MakeConfiguration(1));
+  mesh.Advance(DepartureLog::kMaxReportDelay - milliseconds(500));
+  for (int index = 0; index < 10; ++index) {
+    mesh.Request("a2", "api", "/fleet/1", "north-key");
+  }
+  mesh.Advance(milliseconds(400));
+  EXPECT_FALSE(mesh.Runs().empty());
+  for (const FakeMesh::Run& run : mesh.Runs()) {
+    EXPECT_EQ(run.node, "b1");
+  }
+  mesh.Advance(seconds(2));
+  for (int index = 0; index < 20; ++index) {
+    mesh.Request("a2", "api", "/fleet/1", "north-key");
+  }
+  mesh.Advance(milliseconds(500));
+  EXPECT_TRUE(std::any_of(mesh.Runs().begin(), mesh.Runs().end(), [](const FakeMesh::Run& aRun) {
+    return aRun.node == "a1";
+  }));
+}
+
 TEST(MeshCore, ConfigurationSpreadsWithoutStoreAndNeverRollsBack)
 {
   FakeMesh mesh(1);
--- a/packages/node/decision_loop.h
+++ b/packages/node/decision_loop.h
@@ -33,6 +33,7 @@
   std::function<void(const SendPeer&)> peers;
   /// Set only in a node on a platform with a store.
   std::function<void(const FollowStore&)> followStore = nullptr;
+  std::function<void(const RecordDeparture&)> recordDeparture = nullptr;
   std::function<void(const AppendLog&)> append;
   std::function<void(const FollowLog&)> follow;
   std::function<void(const StopFollowing&)> stopFollowing;
@@ -66,6 +67,8 @@
   void operator()(const ForgetExchange& aEffect) const { this->routes.mesh(aEffect); }
   void operator()(const SendPeer& aEffect) const { this->routes.peers(aEffect); }
   void operator()(const FollowStore& aEffect) const { this->routes.followStore(aEffect); }
+  void operator()(const RecordDeparture& aEffect) const { this->routes.recordDeparture(aEffect); }
+  void operator()(const AnswerReport& aEffect) const { this->routes.mesh(aEffect); }
   void operator()(const AppendLog& aEffect) const { this->routes.append(aEffect); }
   void operator()(const FollowLog& aEffect) const { this->routes.follow(aEffect); }
   void operator()(const StopFollowing& aEffect) const { this->routes.stopFollowing(aEffect); }
--- a/packages/node/mesh_io.cc
+++ b/packages/node/mesh_io.cc
@@ -38,6 +38,34 @@
   return response;
 }
 
+/// Returns a report with its number if it announces that the target leaves; nullopt for others,
+/// which are acknowledged at once.
+struct DepartureNumberer
+{
+  std::uint64_t number;
+
+  std::optional<Event> operator()(const TargetHeartbeat& aBeat) const
+  {
+    if (aBeat.State() != TargetState::kDraining) {
+      return std::nullopt;
+    }
+    TargetHeartbeat::Fields fields = aBeat.ToFields();
+    fields.report = this->number;
+    return TargetHeartbeat(std::move(fields));
+  }
+  std::optional<Event> operator()(const TargetDeregistered& aGone) const
+  {
+    TargetDeregistered::Fields fields = aGone.ToFields();
+    fields.report = this->number;
+    return TargetDeregistered(std::move(fields));
+  }
+  template<typename Other>
+  std::optional<Event> operator()(const Other& /*aOther*/) const
+  {
+    return std::nullopt;
+  }
+};
+
 } // namespace
 
 MeshIo::OpenResult
@@ -327,16 +355,41 @@
     this->Answer(aConnection, this->RejectEarly(ListenerRole::kReports, *rejection));
     return;
   }
-  if (!this->events.TrySendArrival(std::get<Event>(read))) {
+  const std::uint64_t number = this->lastExchange + 1;
+  const Event& event = std::get<Event>(read);
+  const std::optional<Event> departure = std::visit(DepartureNumberer{ number }, event);
+  if (!this->events.TrySendArrival(departure.value_or(event))) {
     this->Answer(aConnection, EmptyResponse(http::status::service_unavailable));
     return;
   }
+  if (departure) {
+    this->lastExchange = number;
+    this->reports.emplace(number, aConnection);
+    aConnection->AwaitAnswer(number);
+    return;
+  }
   this->Answer(aConnection, this->frontEnd.writeReportAccepted());
 }
 
+void
+MeshIo::Apply(const AnswerReport& aEffect)
+{
+  const std::unordered_map<std::uint64_t, ServerConnection::Pointer>::iterator found =
+    this->reports.find(aEffect.Report());
+  if (found == this->reports.end()) {
+    return;
+  }
+  const ServerConnection::Pointer connection = std::move(found->second);
+  this->reports.erase(found);
+  this->Answer(connection,
+               aEffect.Accepted() ? this->frontEnd.writeReportAccepted()
+                                  : EmptyResponse(http::status::service_unavailable));
+}
+
 void
 MeshIo::OnDisconnect(std::uint64_t aExchange)
 {
+  this->reports.erase(aExchange);
   const Exchanges::iterator found = this->exchanges.find(aExchange);
   if (found == this->exchanges.end()) {
     return;
--- a/packages/node/mesh_io.h
+++ b/packages/node/mesh_io.h
@@ -46,6 +46,7 @@
                                 CancelSend,
                                 ForgetExchange,
                                 ForgetPeer,
+                                AnswerReport,
                                 PhaseChanged>;
 
 class MeshIo
@@ -147,6 +148,7 @@
   void Apply(const CancelSend& aEffect);
   void Apply(const ForgetExchange& aEffect);
   void Apply(const ForgetPeer& aEffect);
+  void Apply(const AnswerReport& aEffect);
   void Apply(const PhaseChanged& aEffect);
   /// Ends what an effect was for after it has thrown: nothing was sent, or no answer could be
   /// written.
@@ -184,6 +186,9 @@
   std::vector<std::unique_ptr<Listener>> listeners;
   std::shared_ptr<std::size_t> connectionCount = std::make_shared<std::size_t>(0);
   Exchanges exchanges;
+  /// Departures of the target whose acknowledgement waits for AnswerReport.
+  std::unordered_map<std::uint64_t, ServerConnection::Pointer> reports;
+  /// Last number of an exchange or a report.
   std::uint64_t lastExchange = 0;
   std::map<std::string, Tcp::endpoint> peers;
   Phase phase = Phase::kBooting;
--- a/packages/node/mesh_process.cc
+++ b/packages/node/mesh_process.cc
@@ -142,6 +142,7 @@
     this->peers->Submit(aEffect, this->core->DistanceTo(aEffect.To().Node()));
   };
   routes.followStore = std::move(aHandlers.followStore);
+  routes.recordDeparture = std::move(aHandlers.recordDeparture);
   routes.report = [this](ReportItem aItem) { this->reporting->Submit(std::move(aItem)); };
   routes.drained = std::move(aHandlers.drained);
   return routes;
--- a/packages/node/mesh_process.h
+++ b/packages/node/mesh_process.h
@@ -43,6 +43,8 @@
     std::function<void()> drained;
     /// Sets whether the node follows the platform's store, and passes on an era to ask it about.
     std::function<void(const FollowStore&)> followStore;
+    /// Records in the platform's store that the target on this host leaves.
+    std::function<void(const RecordDeparture&)> recordDeparture;
   };
 
   /// Starts all threads.
