Give up the quotas of a node when it begins to leave

Cause: the selection of quota owners started from the own node whatever its state. The stopping node went on to grant the whole rate for the 2.5 s in which it takes requests, beside the next owner, which starts with the whole rate since the previous one left cleanly.

Change: only live members own quotas, the own node included, so the old owner stops before any other node can know that it leaves. If all are leaving they share the quotas with one owner each. The only node of a fleet, or the last that is not leaving, no longer counts as isolated: it used its fallback bucket at the whole rate beside the bucket from which it answered draws.

Conclusion: two owners no longer overlap in a planned stop.

--- a/packages/decisions/mesh/fleet_share.cc
+++ b/packages/decisions/mesh/fleet_share.cc
@@ -16,11 +16,18 @@
 } // namespace
 
 void
-FleetShare::NoteState(const Member& aMember, Time aNow)
+FleetShare::NoteState(const Member& aMember, bool aAllLeaving, Time aNow)
 {
   const std::string& node = aMember.Address().Node();
+  if (aAllLeaving && aMember.State() == NodeState::kLeaving) {
+    this->departed.erase(node);
+    ++this->liveNodes;
+    return;
+  }
   switch (aMember.State()) {
     case NodeState::kAlive:
+      ++this->liveNodes;
+      [[fallthrough]];
     case NodeState::kSuspect:
       this->departed.erase(node);
       if (this->deadSince.erase(node) > 0) {
@@ -52,12 +59,13 @@
 {
   std::set<std::string> known = this->registered;
   this->liveNodes = 0;
+  const bool allLeaving =
+    std::none_of(aMembers.begin(), aMembers.end(), [](const Members::value_type& aEntry) {
+      return aEntry.second.State() == NodeState::kAlive;
+    });
   for (const Members::value_type& entry : aMembers) {
-    this->NoteState(entry.second, aNow);
+    this->NoteState(entry.second, allLeaving, aNow);
     known.insert(entry.first);
-    if (entry.second.State() == NodeState::kAlive) {
-      ++this->liveNodes;
-    }
   }
   // Drops the state of nodes that are neither registered nor members any more.
   std::erase_if(this->departed,
@@ -77,6 +85,13 @@
   this->expectedNodes = std::max({ counted, this->liveNodes, minimum });
 }
 
+bool
+FleetShare::IsIsolated(Time aNow) const
+{
+  const bool isOnlyNode = !this->registered.empty() && this->expectedNodes <= 1;
+  return !isOnlyNode && (this->liveNodes <= 1 || aNow - this->lastMessageAt > kIsolationTimeout);
+}
+
 double
 FleetShare::Share(Time aNow) const
 {
--- a/packages/decisions/mesh/fleet_share.h
+++ b/packages/decisions/mesh/fleet_share.h
@@ -6,9 +6,9 @@
 //   share.Update(members, now);
 //   share.Share(now);          // 1 while nearly all expected nodes are visible
 //
-// Nodes that left cleanly are not expected, nor are nodes that have been dead for kDeadNodeExpiry:
-// a longer partition cannot be distinguished from nodes that are gone for good, whose part of every
-// quota would otherwise be lost permanently.
+// Nodes that left cleanly are not expected, unless all nodes are leaving, nor are nodes that have
+// been dead for kDeadNodeExpiry: a longer partition cannot be distinguished from nodes that are
+// gone for good, whose part of every quota would otherwise be lost permanently.
 #pragma once
 
 #include <cstddef>
@@ -41,11 +41,9 @@
   void NotePeerMessage(Time aNow) { this->lastMessageAt = aNow; }
 
   /// Whether this node reaches no other node, because it has just started or is partitioned off.
-  /// Missing messages reveal a partition long before probes have declared every other node dead.
-  bool IsIsolated(Time aNow) const
-  {
-    return this->liveNodes <= 1 || aNow - this->lastMessageAt > kIsolationTimeout;
-  }
+  /// The only node of a fleet is not isolated. Missing messages reveal a partition long before
+  /// probes have declared every other node dead.
+  bool IsIsolated(Time aNow) const;
   /// Number of nodes in the whole fleet, including those on the other side of a partition.
   std::size_t Expected() const { return this->expectedNodes; }
   /// Fraction of a fleet-wide quota that the mutually visible nodes may use together. Suspects do
@@ -57,7 +55,8 @@
   bool HasSeenPeers() const { return this->seenPeers; }
 
 private:
-  void NoteState(const Member& aMember, Time aNow);
+  /// aAllLeaving: no node is alive; those that are leaving still share the quotas.
+  void NoteState(const Member& aMember, bool aAllLeaving, Time aNow);
   bool IsExpected(const std::string& aNode, Time aNow) const;
 
   std::set<std::string> registered;
--- a/packages/decisions/mesh/quota_pool.cc
+++ b/packages/decisions/mesh/quota_pool.cc
@@ -30,6 +30,10 @@
 /// the time in which probes detect a partition, after which FleetShare divides the quota.
 constexpr Duration kTakeoverTime = std::chrono::seconds(5);
 
+/// Time after a node has met others since its start in which its buckets refill with a fraction of
+/// the rate only: until the nodes that owned its quotas meanwhile have learned of it.
+constexpr Duration kJoinTime = std::chrono::seconds(1);
+
 /// Finalizes an FNV hash, which mixes the last input bytes poorly.
 std::uint64_t
 FinalizeHash(const StableHash& aHash)
@@ -78,7 +82,7 @@
     } else {
       account.group = GroupOf(organisation.Name());
       account.owner = this->self;
-      account.bucket.Restart(aNow, aNow);
+      account.bucket.Restart(aNow, this->joinedAt + kJoinTime);
       account.fallback.filledAt = aNow;
     }
     account.rate = organisation.Rate();
@@ -95,22 +99,50 @@
 void
 QuotaPool::SetMembers(const Members& aMembers, Time aNow)
 {
+  const bool seenPeers = this->fleet.HasSeenPeers();
   this->fleet.Update(aMembers, aNow);
+  if (!seenPeers && this->fleet.HasSeenPeers()) {
+    this->Join(aNow);
+  }
   this->UpdateOwners(aMembers, aNow);
 }
 
+void
+QuotaPool::Join(Time aNow)
+{
+  this->joinedAt = aNow;
+  for (std::pair<const std::string, Account>& entry : this->accounts) {
+    entry.second.bucket.Restart(aNow, aNow + kJoinTime);
+  }
+}
+
+std::vector<PeerAddress>
+QuotaPool::EligibleOwners(const Members& aMembers)
+{
+  std::vector<PeerAddress> alive;
+  std::vector<PeerAddress> leaving;
+  for (const Members::value_type& entry : aMembers) {
+    // A suspect owns no quota: draws to it may go unanswered for as long as the suspicion lasts.
+    if (entry.second.State() == NodeState::kAlive) {
+      alive.push_back(entry.second.Address());
+    } else if (entry.second.State() == NodeState::kLeaving) {
+      leaving.push_back(entry.second.Address());
+    }
+  }
+  return alive.empty() ? leaving : alive;
+}
+
 std::vector<PeerAddress>
 QuotaPool::ComputeOwners(const Members& aMembers) const
 {
+  const std::vector<PeerAddress> eligible = EligibleOwners(aMembers);
   std::vector<PeerAddress> best(kOwnerGroups, this->self);
   for (std::size_t group = 0; group < kOwnerGroups; ++group) {
-    std::uint64_t bestWeight = RendezvousWeight(group, this->self.Node());
-    for (const Members::value_type& member : aMembers) {
-      // A suspect owns no quota: draws to it may go unanswered for as long as the suspicion lasts.
-      const bool alive = member.second.State() == NodeState::kAlive;
-      const std::uint64_t weight = alive ? RendezvousWeight(group, member.first) : 0;
-      if (alive && weight > bestWeight) {
-        best[group] = member.second.Address();
+    std::uint64_t bestWeight = 0;
+    for (const PeerAddress& member : eligible) {
+      const std::uint64_t weight = RendezvousWeight(group, member.Node());
+      if (weight > bestWeight) {
+        best[group] = member;
         bestWeight = weight;
       }
     }
--- a/packages/decisions/mesh/quota_pool.h
+++ b/packages/decisions/mesh/quota_pool.h
@@ -7,8 +7,10 @@
 //   for (const QuotaPool::Decision& decision : pool.TakeDecisions()) { ... }
 //
 // The token bucket of an organisation (QuotaBucket) is held by a single live node, its quota owner,
-// which rendezvous hashing selects; a small quota is therefore not divided among the nodes. The
-// other nodes obtain capacity from the owner in two ways:
+// which rendezvous hashing selects; a small quota is therefore not divided among the nodes. A node
+// that leaves gives up its quotas at once and draws tokens like the others, so that the next owner
+// may grant the whole rate as soon as it knows of the departure. Only if all nodes are leaving does
+// one of them own the quota. The other nodes obtain capacity from the owner in two ways:
 //   - Credit: while an organisation stays far below its quota, a node may admit a granted number of
 //     requests at once and report them every kReportInterval.
 //   - Draws: otherwise a node requests tokens (QuotaDraw) and receives them (QuotaGrant). A draw
@@ -180,12 +182,18 @@
   void PollAllWaiters(Time aNow);
   void AdmitWaiters(Account& aAccount);
   void RejectWaiters(Account& aAccount);
+  /// Members that may own quotas: the live ones, or those that are leaving if there is no other.
+  static std::vector<PeerAddress> EligibleOwners(const Members& aMembers);
   /// Owner of each group.
   std::vector<PeerAddress> ComputeOwners(const Members& aMembers) const;
   void UpdateOwners(const Members& aMembers, Time aNow);
+  /// Notes that this node has met the first other one since its start.
+  void Join(Time aNow);
 
   PeerAddress self;
   FleetShare fleet;
+  /// Time of Join; the epoch before it.
+  Time joinedAt{};
   std::map<std::string, Account> accounts;
   std::map<std::string, Channel> channels;
   std::map<std::uint64_t, std::string> waiterOrganisations;
--- a/packages/decisions/tests/mesh_quota_test.cc
+++ b/packages/decisions/tests/mesh_quota_test.cc
@@ -215,6 +215,79 @@
   }
 }
 
+/// Stops nodes as a supervisor does: they drain, exit and start again.
+void
+StopAndStart(FakeMesh& aMesh, const std::vector<std::string>& aNodes, Duration aGap)
+{
+  // A node exits 2.5 s after the stop request, if it is idle.
+  constexpr Duration kStopTime = seconds(3);
+  const Time start = aMesh.Now();
+  std::size_t drained = 0;
+  std::size_t restarted = 0;
+  while (restarted < aNodes.size()) {
+    const Duration elapsed = aMesh.Now() - start;
+    while (drained < aNodes.size() && elapsed >= aGap * static_cast<int>(drained)) {
+      aMesh.Drain(aNodes[drained++]);
+    }
+    while (restarted < drained && elapsed >= aGap * static_cast<int>(restarted) + kStopTime) {
+      aMesh.Restart(aNodes[restarted]);
+      aMesh.ConfigureOnly({ aNodes[restarted++] }, MakeConfiguration(1, { "north-key" }, kRate));
+    }
+    OfferLoad(aMesh, milliseconds(66));
+  }
+}
+
+// Guards against two nodes that grant the same quota while its owner stops, alone or with others.
+TEST(MeshQuota, HoldsWhileNodesStop)
+{
+  struct Case
+  {
+    std::string name;
+    std::vector<std::string> nodes;
+    Duration gap;
+  };
+  std::vector<Case> cases{
+    { "all at once", kNodes, Duration::zero() },
+    { "in turn, overlapping", kNodes, milliseconds(1300) },
+    { "in turn", kNodes, milliseconds(3500) },
+    { "in quick succession", kNodes, milliseconds(100) },
+    { "half at once", { "a1", "a2", "a3", "a4" }, Duration::zero() },
+    { "other half at once", { "b1", "b2", "b3", "b4" }, Duration::zero() },
+    { "all but one", { "a1", "a2", "a3", "a4", "b1", "b2", "b3" }, milliseconds(20) },
+  };
+  for (const std::string& node : kNodes) {
+    cases.push_back({ node, { node }, Duration::zero() });
+  }
+  for (const Case& testCase : cases) {
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+      SCOPED_TRACE(testCase.name + " seed " + std::to_string(seed));
+      FakeMesh mesh(seed);
+      StartServingFleet(mesh);
+      // Most of the quota unused, so that the burst is saved.
+      OfferLightLoad(mesh, 24);
+      OfferLoad(mesh, seconds(1));
+      StopAndStart(mesh, testCase.nodes, testCase.gap);
+      OfferLoad(mesh, seconds(6));
+      EXPECT_LE(MaxRunsInWindow(mesh), kMaxRunsPerWindow);
+    }
+  }
+}
+
+// Guards against a quota that cannot be used while its owner stops.
+TEST(MeshQuota, CanBeUsedWhileANodeStops)
+{
+  for (const std::string& node : kNodes) {
+    SCOPED_TRACE(node);
+    FakeMesh mesh(1);
+    StartServingFleet(mesh);
+    OfferLoad(mesh, seconds(5));
+    const std::size_t before = mesh.Runs().size();
+    mesh.Drain(node);
+    OfferLoad(mesh, seconds(2));
+    EXPECT_GE(mesh.Runs().size() - before, kRate * 2 * 0.85);
+  }
+}
+
 TEST(MeshQuota, RecoversAfterAPartition)
 {
   FakeMesh mesh(1);
