Test that a response whose head is cut short is no answer

Another operator's report: an upstream stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body.

Result: not found here. The parser reports the end of the connection inside a head as an error whatever the state of the head, and the exchange ends as broken: 502, or a retry where the request may be repeated.

Tests: OutgoingExchangeTest.HeadCutShortIsNoAnswer cuts four heads (length, chunks, end of the connection, behind an interim response) at every byte, by an end and by a reset. They passed at once, so they show no fault and guard against one.

--- a/packages/node/tests/outgoing_exchange_test.cc
+++ b/packages/node/tests/outgoing_exchange_test.cc
@@ -190,5 +190,37 @@
   }
 }
 
+// Guards against an answer whose head is cut short and that counts as complete, with an empty body.
+TEST_F(OutgoingExchangeTest, HeadCutShortIsNoAnswer)
+{
+  const std::string interim = "HTTP/1.1 102 Processing\r\n\r\n";
+  const std::string start = "HTTP/1.1 200 OK\r\nX-Signature: s\r\n";
+  const std::string heads[] = {
+    start + "Content-Length: 10\r\n\r\n",
+    start + "Transfer-Encoding: chunked\r\n\r\n",
+    start + "Connection: close\r\n\r\n",
+    interim + start + "Content-Length: 0\r\n\r\n",
+  };
+  for (const std::string& head : heads) {
+    for (std::size_t length = 0; length < head.size(); ++length) {
+      for (const bool reset : { false, true }) {
+        SCOPED_TRACE(head.substr(0, length) + (reset ? " and a reset" : " and an end"));
+        FakeConnection connection = this->BeginToWrite("booking");
+        connection.ReadRequest();
+        connection.Write(head.substr(0, length));
+        if (reset) {
+          connection.Reset();
+        } else {
+          connection.ShutdownSend();
+        }
+        this->io.run();
+        EXPECT_TRUE(std::holds_alternative<ConnectionBroken>(this->result.value()));
+        this->result.reset();
+        this->io.restart();
+      }
+    }
+  }
+}
+
 } // namespace
 } // namespace jackdawwind::node
