Repeat a draw that reaches a node which does not own the quota yet

Cause: the leaving node draws from the next owner, which does not know yet that it is one and answered with no tokens. The node took this for an exhausted quota and refused the request. Other nodes can meet the same for some ten milliseconds at every change of owner.

Ruled out: chance. The test is deterministic and fails each time without this change.

Change: a node that does not own a quota states no allowance for it. The part of a draw without an allowance is repeated after 30 ms; the request waits for kDrawTimeout at most, as before. A leaving owner keeps the tokens that it had saved for 0.5 s, for its own requests; the next owner starts empty, so no token exists twice.

MeshQuota.HoldsWhileNodesStop holds.

Conclusion: a planned stop neither exceeds a quota nor refuses within it in these tests.

--- a/packages/decisions/mesh/quota_pool.cc
+++ b/packages/decisions/mesh/quota_pool.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <utility>
 
 #include "util/hash.h"
@@ -34,6 +35,13 @@
 /// the rate only: until the nodes that owned its quotas meanwhile have learned of it.
 constexpr Duration kJoinTime = std::chrono::seconds(1);
 
+/// Lifetime of the tokens that a leaving owner keeps, until it draws from the next one. Longer, and
+/// the next owner could save a burst beside them.
+constexpr Duration kKeptLifetime = std::chrono::milliseconds(500);
+/// Time until a draw is repeated whose receiver does not own the quota: pushed changes of members
+/// take two or three times as long.
+constexpr Duration kNotOwnerPause = std::chrono::milliseconds(30);
+
 /// Finalizes an FNV hash, which mixes the last input bytes poorly.
 std::uint64_t
 FinalizeHash(const StableHash& aHash)
@@ -154,6 +162,8 @@
 QuotaPool::UpdateOwners(const Members& aMembers, Time aNow)
 {
   const std::vector<PeerAddress> best = this->ComputeOwners(aMembers);
+  const Members::const_iterator own = aMembers.find(this->self.Node());
+  const bool isLeaving = own != aMembers.end() && own->second.State() == NodeState::kLeaving;
   for (std::pair<const std::string, Account>& entry : this->accounts) {
     Account& account = entry.second;
     const PeerAddress& owner = best[account.group];
@@ -166,9 +176,13 @@
         previous != aMembers.end() && previous->second.State() == NodeState::kLeaving;
       account.bucket.Restart(aNow, leftCleanly ? aNow : aNow + kTakeoverTime);
     }
+    if (isLeaving && this->IsOwner(account)) {
+      KeepSavedTokens(account, aNow);
+    }
     account.owner = owner;
     account.creditExpiresAt = Time{};
     account.exhaustedUntil = Time{};
+    account.inDraw = false;
     account.unreported += std::exchange(account.reporting, 0);
     if (owner == this->self) {
       account.bucket.Deduct(account.unreported, MeanUnreportedAge(account, aNow), aNow);
@@ -177,6 +191,13 @@
   }
 }
 
+void
+QuotaPool::KeepSavedTokens(Account& aAccount, Time aNow)
+{
+  aAccount.drawn = aAccount.bucket.Grant(std::numeric_limits<std::uint32_t>::max(), aNow);
+  aAccount.drawnAt = aNow - (kDrawnLifetime - kKeptLifetime);
+}
+
 bool
 QuotaPool::IsOwner(const Account& aAccount) const
 {
@@ -347,6 +368,7 @@
                               .age = MeanUnreportedAge(account, aNow),
                               .want = WantedTokens(account) }));
     account.reporting = std::exchange(account.unreported, 0);
+    account.inDraw = true;
   }
   aChannel.nextDrawAt = Time::max();
   if (uses.empty()) {
@@ -359,13 +381,13 @@
         { .sender = this->self, .sequence = ++aChannel.sequence, .uses = std::move(uses) }) }));
 }
 
-QuotaAllowance
+std::optional<QuotaAllowance>
 QuotaPool::AnswerUse(const std::string& aNode, const QuotaUse& aUse, Time aNow)
 {
   const std::string& organisation = aUse.GetOrganisation();
   const auto found = this->accounts.find(organisation);
   if (found == this->accounts.end() || !this->IsOwner(found->second)) {
-    return QuotaAllowance({ .organisation = organisation });
+    return std::nullopt;
   }
   this->RefillBucket(found->second, aNow);
   QuotaBucket& bucket = found->second.bucket;
@@ -383,7 +405,11 @@
   std::vector<QuotaAllowance> allowances;
   allowances.reserve(aDraw.Uses().size());
   for (const QuotaUse& use : aDraw.Uses()) {
-    allowances.push_back(this->AnswerUse(aDraw.Sender().Node(), use, aNow));
+    const std::optional<QuotaAllowance> allowance =
+      this->AnswerUse(aDraw.Sender().Node(), use, aNow);
+    if (allowance) {
+      allowances.push_back(*allowance);
+    }
   }
   aEffects.push_back(SendPeer({ .to = aDraw.Sender(),
                                 .message = QuotaGrant({ .sender = this->self.Node(),
@@ -407,11 +433,29 @@
       this->ApplyAllowance(found->second, allowance, aNow);
     }
   }
+  this->RepeatUnanswered(channel->second, aNow);
+}
+
+void
+QuotaPool::RepeatUnanswered(Channel& aChannel, Time aNow)
+{
+  for (std::pair<const std::string, Account>& entry : this->accounts) {
+    Account& account = entry.second;
+    if (!account.inDraw || account.owner != aChannel.owner) {
+      continue;
+    }
+    account.inDraw = false;
+    account.unreported += std::exchange(account.reporting, 0);
+    aChannel.pausedUntil = aNow + kNotOwnerPause;
+    const Duration delay = account.waiters.empty() ? kUnansweredBackoff : kNotOwnerPause;
+    aChannel.nextDrawAt = std::min(aChannel.nextDrawAt, aNow + delay);
+  }
 }
 
 void
 QuotaPool::ApplyAllowance(Account& aAccount, const QuotaAllowance& aAllowance, Time aNow)
 {
+  aAccount.inDraw = false;
   aAccount.reporting = 0;
   aAccount.credit = aAllowance.Credit();
   aAccount.creditExpiresAt = aNow + QuotaBucket::kCreditLifetime;
@@ -485,6 +529,7 @@
   this->unresponsiveOwners.push_back(aChannel.owner.Node());
   for (std::pair<const std::string, Account>& entry : this->accounts) {
     Account& account = entry.second;
+    account.inDraw = account.inDraw && account.owner != aChannel.owner;
     if (account.owner == aChannel.owner && account.reporting > 0) {
       // Reports these requests again, since a lost report would leave them uncounted.
       account.unreported += std::exchange(account.reporting, 0);
@@ -505,7 +550,7 @@
       this->HandleDrawTimeout(channel, aNow);
     }
     if (channel.drawDeadline == Time::max() && channel.backoffUntil <= aNow &&
-        channel.nextDrawAt <= aNow) {
+        channel.pausedUntil <= aNow && channel.nextDrawAt <= aNow) {
       this->SendDraw(channel, aNow, aEffects);
     }
   }
@@ -517,9 +562,10 @@
   Time next = Time::max();
   for (const std::pair<const std::string, Channel>& entry : this->channels) {
     const Channel& channel = entry.second;
-    const Time report = channel.drawDeadline == Time::max() && channel.nextDrawAt != Time::max()
-                          ? std::max(channel.nextDrawAt, channel.backoffUntil)
-                          : Time::max();
+    const Time report =
+      channel.drawDeadline == Time::max() && channel.nextDrawAt != Time::max()
+        ? std::max({ channel.nextDrawAt, channel.backoffUntil, channel.pausedUntil })
+        : Time::max();
     next = std::min({ next, channel.drawDeadline, report });
   }
   if (this->waiterOrganisations.empty()) {
--- a/packages/decisions/mesh/quota_pool.h
+++ b/packages/decisions/mesh/quota_pool.h
@@ -9,8 +9,9 @@
 // The token bucket of an organisation (QuotaBucket) is held by a single live node, its quota owner,
 // which rendezvous hashing selects; a small quota is therefore not divided among the nodes. A node
 // that leaves gives up its quotas at once and draws tokens like the others, so that the next owner
-// may grant the whole rate as soon as it knows of the departure. Only if all nodes are leaving does
-// one of them own the quota. The other nodes obtain capacity from the owner in two ways:
+// may grant the whole rate as soon as it knows of the departure. It keeps the tokens that it had
+// saved for kKeptLifetime, for its own requests. Only if all nodes are leaving does one of them own
+// the quota. The other nodes obtain capacity from the owner in two ways:
 //   - Credit: while an organisation stays far below its quota, a node may admit a granted number of
 //     requests at once and report them every kReportInterval.
 //   - Draws: otherwise a node requests tokens (QuotaDraw) and receives them (QuotaGrant). A draw
@@ -141,6 +142,8 @@
     /// Requests admitted on credit: not reported yet, and in the outstanding report.
     std::uint32_t unreported = 0;
     std::uint32_t reporting = 0;
+    /// Whether the outstanding draw to the owner is also for this organisation.
+    bool inDraw = false;
     /// Mean admission time of the unreported requests.
     Time unreportedAt{};
     /// The owner had no tokens or credit left; requests are rejected without a draw until then.
@@ -160,6 +163,8 @@
     Time drawDeadline = Time::max();
     /// The last draw was not answered; the next one is sent at this time at the earliest.
     Time backoffUntil{};
+    /// The receiver did not know yet that it owns a quota; no draw is sent until then.
+    Time pausedUntil{};
     Time nextDrawAt = Time::max();
   };
 
@@ -174,8 +179,13 @@
   static std::uint32_t WantedTokens(const Account& aAccount);
   Channel& ChannelTo(const PeerAddress& aOwner);
   void SendDraw(Channel& aChannel, Time aNow, Effects& aEffects);
-  QuotaAllowance AnswerUse(const std::string& aNode, const QuotaUse& aUse, Time aNow);
+  /// Returns nullopt if this node does not own the organisation's quota.
+  std::optional<QuotaAllowance> AnswerUse(const std::string& aNode,
+                                          const QuotaUse& aUse,
+                                          Time aNow);
   void ApplyAllowance(Account& aAccount, const QuotaAllowance& aAllowance, Time aNow);
+  /// Repeats the part of a draw to which the receiver has stated no allowance.
+  void RepeatUnanswered(Channel& aChannel, Time aNow);
   /// Handles a draw that was not answered in time.
   void HandleDrawTimeout(Channel& aChannel, Time aNow);
   void PollWaiters(Account& aAccount, Time aNow);
@@ -187,6 +197,8 @@
   /// Owner of each group.
   std::vector<PeerAddress> ComputeOwners(const Members& aMembers) const;
   void UpdateOwners(const Members& aMembers, Time aNow);
+  /// Keeps the tokens of a bucket for this node's own requests after it has given up the quota.
+  static void KeepSavedTokens(Account& aAccount, Time aNow);
   /// Notes that this node has met the first other one since its start.
   void Join(Time aNow);
 
