Review: errors of a script don't look like a broken rule

Cause: an exception in a script of cases 11 to 14 ended it with 1, and a stop from outside left its nodes running.

--- a/review/common-3/stand_ins.py
+++ b/review/common-3/stand_ins.py
@@ -13,6 +13,7 @@
 import socket
 import struct
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -484,3 +485,13 @@
 
 def new_id():
     return "%016x" % random.getrandbits(64)
+
+
+def run(main):
+    """Ends the program with the result of main(), or with 2 if the case could not run."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    try:
+        sys.exit(main())
+    except Exception as problem:  # An error of the script must not look like a broken rule.
+        print("the case could not run: %r" % problem)
+        sys.exit(2)
