Review: a second stop of a script doesn't cut its cleaning up

Cause: a second SIGTERM ended a script while it removed its folder. Change: the first one ignores later ones.

--- a/review/common-3/stand_ins.py
+++ b/review/common-3/stand_ins.py
@@ -489,7 +489,12 @@
 
 def run(main):
     """Ends the program with the result of main(), or with 2 if the case could not run."""
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+
+    def stop(*_):
+        signal.signal(signal.SIGTERM, signal.SIG_IGN)
+        sys.exit(2)
+
+    signal.signal(signal.SIGTERM, stop)
     try:
         sys.exit(main())
     except Exception as problem:  # An error of the script must not look like a broken rule.
