Use a first configuration whatever its version is

Cause: ConfigurationGossip stated its version as a number, 0 before the first configuration, and adopted only a higher one. Probes, offers and requests between nodes used the same number, so version 0 could not come from a peer either.

Ruled out: parsing and the store client. Version is read and submitted; the decisions refused it.

Change: a version is a std::optional, empty before the first configuration, in the decisions and in Probe, ProbeAck, MeshConfigWant and StoreContact. Log lines say version=none.

Why it works: any version is newer than none by type, so no value is special.

--- a/packages/decisions/membership/membership.cc
+++ b/packages/decisions/membership/membership.cc
@@ -287,7 +287,7 @@
 }
 
 void
-Membership::SetConfigOffset(std::uint64_t aOffset)
+Membership::SetConfigOffset(std::optional<std::uint64_t> aOffset)
 {
   this->configOffset = aOffset;
 }
--- a/packages/decisions/membership/membership.h
+++ b/packages/decisions/membership/membership.h
@@ -76,8 +76,9 @@
   void SetTarget(const std::string& aService, TargetState aState, Time aNow, Effects& aEffects);
   /// Marks this node as leaving and pushes the change to several peers at once.
   void Leave(Time aNow, Effects& aEffects);
-  /// Sets the configuration offset that this node's probes and acknowledgements report.
-  void SetConfigOffset(std::uint64_t aOffset);
+  /// Sets the offset or version of the configuration that this node's probes and acknowledgements
+  /// report; nothing before the first one.
+  void SetConfigOffset(std::optional<std::uint64_t> aOffset);
   /// Sets the hash of the evacuation orders that probes carry.
   void SetEvacuationHash(std::uint64_t aHash) { this->evacuationHash = aHash; }
   /// Sets the era of the platform's store that this node's probes and acknowledgements report.
@@ -172,7 +173,7 @@
   /// Rounds left of a join, and the time of the next one; Time::max() when there is none.
   std::uint32_t joinRounds = 0;
   Time nextJoinRound = Time::max();
-  std::uint64_t configOffset = 0;
+  std::optional<std::uint64_t> configOffset;
   std::uint64_t evacuationHash = 0;
   std::uint64_t storeEra = 0;
   Time nextPeriod{};
--- a/packages/decisions/mesh/configuration_gossip.cc
+++ b/packages/decisions/mesh/configuration_gossip.cc
@@ -41,7 +41,7 @@
   for (const PeerAddress& peer : this->ChoosePeers(aMembers)) {
     aEffects.push_back(SendPeer(
       { .to = peer,
-        .message = MeshConfigOffer({ .sender = this->self, .version = this->Version() }) }));
+        .message = MeshConfigOffer({ .sender = this->self, .version = aConfiguration.Version() }) }));
   }
   return true;
 }
@@ -100,7 +100,7 @@
 
 void
 ConfigurationGossip::NoteVersion(const PeerAddress& aPeer,
-                                 std::uint64_t aVersion,
+                                 std::optional<std::uint64_t> aVersion,
                                  Time aNow,
                                  Effects& aEffects)
 {
--- a/packages/decisions/mesh/configuration_gossip.h
+++ b/packages/decisions/mesh/configuration_gossip.h
@@ -6,13 +6,15 @@
 //
 // The version never decreases. A node that adopts a new version offers it to a few random peers,
 // most of them near, which do the same. Every probe carries the sender's version as well, and a
-// node that learns of a newer version than its own requests the configuration from that peer.
+// node that learns of a newer version than its own requests the configuration from that peer. Any
+// version is newer than none, also 0, which the first configuration may have.
 #pragma once
 
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -35,7 +37,11 @@
   /// false if it is not newer.
   bool Adopt(const MeshConfiguration& aConfiguration, const Members& aMembers, Effects& aEffects);
   /// Requests the configuration from aPeer if aVersion, which the peer has, is newer than the own.
-  void NoteVersion(const PeerAddress& aPeer, std::uint64_t aVersion, Time aNow, Effects& aEffects);
+  /// aVersion is empty if the peer has no configuration.
+  void NoteVersion(const PeerAddress& aPeer,
+                   std::optional<std::uint64_t> aVersion,
+                   Time aNow,
+                   Effects& aEffects);
   /// Sends the configuration to the requesting peer if it is newer than the peer's.
   void Receive(const MeshConfigWant& aWant, Effects& aEffects) const;
 
@@ -47,8 +53,11 @@
 
   /// Routes of the current configuration; null before the first one.
   const RouteTable* Table() const { return this->table.get(); }
-  /// Version of the current configuration; 0 before the first one.
-  std::uint64_t Version() const { return this->table ? this->table->Version() : 0; }
+  /// Version of the current configuration; empty before the first one.
+  std::optional<std::uint64_t> Version() const
+  {
+    return this->table ? std::optional<std::uint64_t>(this->table->Version()) : std::nullopt;
+  }
 
 private:
   /// Several times as long as a peer takes to answer a request.
@@ -63,7 +72,7 @@
   Random random;
   std::shared_ptr<const RouteTable> table;
   /// Newest version requested, and the time from which it may be requested again.
-  std::uint64_t requestedVersion = 0;
+  std::optional<std::uint64_t> requestedVersion;
   Time retryAt{};
   /// Time at which a version newer than the own was first noticed; Time::max() if there is none.
   Time behindSince = Time::max();
--- a/packages/decisions/mesh/entry_requests.cc
+++ b/packages/decisions/mesh/entry_requests.cc
@@ -445,7 +445,7 @@
              LogEvent::kRequestAnswered,
              "request=" + aArrived.RequestId() + " host=" + aArrived.Host() +
                " path=" + aArrived.Path() + " code=" + std::string(ToText(aCode)) +
-               " run=not_run version=" + std::to_string(this->modules.configuration.Version()));
+               " run=not_run version=" + text::NumberOrNone(this->modules.configuration.Version()));
   aEffects.push_back(CallMeasured({ .code = aCode, .atEntry = true }));
 }
 
@@ -473,7 +473,7 @@
                " code=" + std::string(ToText(aCode)) + " run=" + std::string(ToText(aRun)) +
                " status=" + std::to_string(aStatus) + " sends=" + std::to_string(aRequest.attempt) +
                " took_us=" + std::to_string(took.count()) +
-               " version=" + std::to_string(this->modules.configuration.Version()));
+               " version=" + text::NumberOrNone(this->modules.configuration.Version()));
   aEffects.push_back(CallMeasured({ .organisation = aRequest.organisation,
                                     .importance = ImportanceOf(aRequest.route),
                                     .code = aCode,
--- a/packages/decisions/mesh/mesh_core.cc
+++ b/packages/decisions/mesh/mesh_core.cc
@@ -1,6 +1,8 @@
 #include "decisions/mesh/mesh_core.h"
 
 #include <algorithm>
+#include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <type_traits>
@@ -17,6 +19,7 @@
 #include "decisions/mesh/residency.h"
 #include "decisions/mesh/store_era.h"
 #include "decisions/mesh/store_readers.h"
+#include "values/text.h"
 
 namespace jackdawwind {
 
@@ -271,7 +274,7 @@
                LogEvent::kStoreEraStarted,
                "era=" + std::to_string(this->storeEra.Known()) +
                  " before=" + std::to_string(before) +
-                 " version=" + std::to_string(this->configuration.Version()));
+                 " version=" + text::NumberOrNone(this->configuration.Version()));
   }
   void On(const PeerReceived& aEvent, Time aNow, Effects& aEffects)
   {
@@ -393,18 +396,18 @@
              Time aNow,
              Effects& aEffects)
   {
-    const std::uint64_t before = this->configuration.Version();
+    const std::optional<std::uint64_t> before = this->configuration.Version();
     if (!this->configuration.Adopt(aConfiguration, this->membership.Members(), aEffects)) {
       return;
     }
     AddLogLine(aEffects,
                aEvent,
                "version=" + std::to_string(aConfiguration.Version()) +
-                 " before=" + std::to_string(before) + " source=" + aSource);
+                 " before=" + text::NumberOrNone(before) + " source=" + aSource);
     this->target.Configure(aConfiguration, aNow);
     this->quota.Configure(*this->configuration.Table(), aNow);
     this->quota.SetMembers(this->membership.Members(), aNow);
-    this->membership.SetConfigOffset(this->configuration.Version());
+    this->membership.SetConfigOffset(aConfiguration.Version());
     this->picker.SetShortestObjective(ShortestObjective(aConfiguration));
   }
 
@@ -583,7 +586,7 @@
                "mode=" + std::string(ToText(wanted)) +
                  " rank=" + std::to_string(this->storeReaders.Rank()) +
                  " for_domain=" + (forDomain == StoreFollowing::kNone ? "no" : "yes") +
-                 " version=" + std::to_string(this->configuration.Version()));
+                 " version=" + text::NumberOrNone(this->configuration.Version()));
   }
 
   /// Tells other nodes the deadlines that a shutdown has moved, again and again since the messages
@@ -640,13 +643,14 @@
   NodeStatus Status() const
   {
     const TargetScheduler& scheduler = this->target.Scheduler();
+    const std::optional<std::uint64_t> version = this->configuration.Version();
     return NodeStatus(
       { .node = this->options.self.Node(),
         .domain = this->options.domain,
         .region = this->options.region,
         .phase = this->phase,
-        .revision = std::to_string(this->configuration.Version()),
-        .configOffset = this->configuration.Version(),
+        .revision = version ? std::to_string(*version) : std::string(),
+        .configOffset = version.value_or(0),
         .limit = LimitStatus({ .running = static_cast<std::uint32_t>(scheduler.Running()),
                                .queued = static_cast<std::uint32_t>(scheduler.WaitingCount()),
                                .level = scheduler.LoadPerMille() }),
--- a/packages/decisions/node_core.cc
+++ b/packages/decisions/node_core.cc
@@ -214,7 +214,8 @@
   void OnPeer(const Probe& aMessage, Time aNow, Effects& aEffects)
   {
     this->membership.Receive(aMessage, aNow, aEffects);
-    this->control.NotePeerOffset(aMessage.Sender(), aMessage.ConfigOffset(), aNow, aEffects);
+    this->control.NotePeerOffset(
+      aMessage.Sender(), aMessage.ConfigOffset().value_or(0), aNow, aEffects);
   }
   void OnPeer(const ProbeAck& aMessage, Time aNow, Effects& aEffects)
   {
@@ -223,7 +224,7 @@
       this->membership.Members().find(aMessage.Subject());
     if (sender != this->membership.Members().end()) {
       this->control.NotePeerOffset(
-        sender->second.Address(), aMessage.ConfigOffset(), aNow, aEffects);
+        sender->second.Address(), aMessage.ConfigOffset().value_or(0), aNow, aEffects);
     }
   }
   void OnPeer(const ProbeRequest& aMessage, Time aNow, Effects& aEffects)
--- a/packages/decisions/tests/fake_mesh.cc
+++ b/packages/decisions/tests/fake_mesh.cc
@@ -350,6 +350,8 @@
       return;
     }
     this->mesh.draws += std::holds_alternative<QuotaDraw>(aEffect.Message()) ? 1 : 0;
+    this->mesh.configurationRequests +=
+      std::holds_alternative<MeshConfigWant>(aEffect.Message()) ? 1 : 0;
     this->mesh.ScheduleAfter(this->mesh.LinkDelay(this->node, this->mesh.NodeAt(to)),
                              [&mesh = this->mesh, to, message = aEffect.Message()] {
                                mesh.Deliver(to, PeerReceived({ .message = message }));
--- a/packages/decisions/tests/fake_mesh.h
+++ b/packages/decisions/tests/fake_mesh.h
@@ -136,6 +136,8 @@
   bool Drained(const std::string& aNode) const;
   /// Number of QuotaDraw messages sent to quota owners.
   std::size_t Draws() const { return this->draws; }
+  /// Number of MeshConfigWant messages sent to peers.
+  std::size_t ConfigurationRequests() const { return this->configurationRequests; }
   /// Sets whether the store acknowledges records of departures and lets nodes read them.
   void SetStoreAvailable(bool aAvailable) { this->storeAvailable = aAvailable; }
   /// Whether a report with this number was acknowledged; nothing while it is not answered.
@@ -199,6 +201,7 @@
   std::vector<Run> runs;
   std::vector<std::string> lines;
   std::size_t draws = 0;
+  std::size_t configurationRequests = 0;
   std::vector<Step> steps;
 };
 
--- a/packages/decisions/tests/mesh_scenario.cc
+++ b/packages/decisions/tests/mesh_scenario.cc
@@ -42,7 +42,7 @@
 }
 
 void
-StartFleet(FakeMesh& aMesh)
+StartHosts(FakeMesh& aMesh)
 {
   aMesh.AddHost({ "a1", "ikeja", "lagos", "fleet" });
   aMesh.AddHost({ "a2", "ikeja", "lagos", "hires" });
@@ -50,6 +50,12 @@
   aMesh.AddHost({ "b2", "sharada", "kano", "hires" });
   aMesh.AddHost({ "b3", "sharada", "kano", "fuel" });
   aMesh.Advance(seconds(1));
+}
+
+void
+StartFleet(FakeMesh& aMesh)
+{
+  StartHosts(aMesh);
   aMesh.Configure(MakeConfiguration(1));
   aMesh.Advance(seconds(4));
 }
--- a/packages/decisions/tests/mesh_scenario.h
+++ b/packages/decisions/tests/mesh_scenario.h
@@ -31,8 +31,9 @@
                                     const std::vector<std::string>& aKeys = { "north-key" },
                                     double aRate = 1000);
 
-/// Starts two hosts each for the services fleet and hires and one for fuel, applies
-/// MakeConfiguration(1), and waits until the nodes know each other.
+/// Starts two hosts each for the services fleet and hires and one for fuel.
+void StartHosts(FakeMesh& aMesh);
+/// Starts these hosts, applies MakeConfiguration(1), and waits until the nodes know each other.
 void StartFleet(FakeMesh& aMesh);
 
 } // namespace jackdawwind
--- a/packages/values/text.h
+++ b/packages/values/text.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
 #include <ostream>
 #include <string>
@@ -62,4 +63,11 @@
   aOut << ']';
 }
 
+/// A number for a log line, or "none".
+inline std::string
+NumberOrNone(const std::optional<std::uint64_t>& aNumber)
+{
+  return aNumber ? std::to_string(*aNumber) : std::string("none");
+}
+
 } // namespace jackdawwind::text
--- a/packages/wire/tests/codec_test.cc
+++ b/packages/wire/tests/codec_test.cc
@@ -2,6 +2,8 @@
 // survive a round trip through JSON.
 #include "wire/codec.h"
 
+#include <optional>
+
 #include <gtest/gtest.h>
 
 #include "wire/generated/calls_codec.h"
@@ -53,6 +55,24 @@
   EXPECT_EQ(std::get<PeerMessage>(decoded), message);
 }
 
+// Guards against a first configuration version, 0, that peers can't tell from no configuration.
+TEST(Codec, TellsVersionZeroFromNone)
+{
+  for (const std::optional<std::uint64_t>& version :
+       { std::optional<std::uint64_t>(), std::optional<std::uint64_t>(0) }) {
+    SCOPED_TRACE(version ? "version 0" : "no configuration");
+    const PeerMessage messages[] = { Probe({ .configOffset = version }),
+                                     ProbeAck({ .configOffset = version }),
+                                     MeshConfigWant({ .version = version }),
+                                     StoreContact({ .version = version }) };
+    for (const PeerMessage& message : messages) {
+      const Decoded<PeerMessage> decoded = DecodeText<PeerMessage>(EncodeText(message));
+      ASSERT_TRUE(std::holds_alternative<PeerMessage>(decoded)) << EncodeText(message);
+      EXPECT_EQ(std::get<PeerMessage>(decoded), message);
+    }
+  }
+}
+
 TEST(Codec, RejectsUnknownUnionMembers)
 {
   const Decoded<PeerMessage> decoded = DecodeText<PeerMessage>(R"({"type":"prope"})");
