Tell a start time of 0 from none in heartbeats

A target whose start time is 0 is used again after its registration has lapsed, if an earlier report arrives late: its requests then fail at an address where it no longer listens.

Cause: the start time was a number, 0 if the target stated none, and the last report of a lapsed registration is kept only with a start time.

ZeroIsAStartAndASequenceNumber fails: the late report is accepted.

Ruled out: sequence numbers. They are compared with those of an earlier report only, so 0 may be the first; the test shows it.

Change: TargetHeartbeat.startedAtMs is a std::optional. One that is empty is earlier than any other, as 0 was. The test of a target without a start time states none now, where it stated 0.

--- a/packages/decisions/mesh/local_target.cc
+++ b/packages/decisions/mesh/local_target.cc
@@ -414,7 +414,7 @@
     AddLogLine(aEffects,
                LogEvent::kBeatRejected,
                "instance=" + aBeat.Instance() + " sequence=" + std::to_string(aBeat.Sequence()) +
-                 " born=" + std::to_string(aBeat.StartedAtMs()) + " reason=stale");
+                 " born=" + text::NumberOrNone(aBeat.StartedAtMs()) + " reason=stale");
     return false;
   }
   this->coldStart.Receive(aBeat, aNow);
--- a/packages/decisions/mesh/mesh_core.cc
+++ b/packages/decisions/mesh/mesh_core.cc
@@ -203,14 +203,15 @@
     }
     if (leaves) {
       this->ReportDeparture(
-        aEvent.Instance(), aEvent.StartedAtMs(), aEvent.Report(), aNow, aEffects);
+        aEvent.Instance(), aEvent.StartedAtMs().value_or(0), aEvent.Report(), aNow, aEffects);
     }
   }
   void On(const TargetDeregistered& aEvent, Time aNow, Effects& aEffects)
   {
     const std::optional<TargetHeartbeat>& current = this->target.Registration().Current();
     const bool known = current && current->Instance() == aEvent.Instance();
-    const std::uint64_t lastStart = known ? current->StartedAtMs() : aEvent.ReceivedAtMs();
+    const std::uint64_t lastStart =
+      known ? current->StartedAtMs().value_or(0) : aEvent.ReceivedAtMs();
     if (this->target.Receive(aEvent, aNow, aEffects)) {
       this->PublishTarget(aNow, aEffects);
     }
--- a/packages/decisions/mesh/target_registration.cc
+++ b/packages/decisions/mesh/target_registration.cc
@@ -56,8 +56,9 @@
     this->Remember(aGone.Instance(), { aGone.StartedAtMs().value_or(aGone.ReceivedAtMs()), aNow });
     return false;
   }
-  const std::uint64_t currentStart = this->current->StartedAtMs();
-  const std::uint64_t startedByMs = aGone.StartedAtMs().value_or(currentStart);
+  const std::optional<std::uint64_t> currentStart = this->current->StartedAtMs();
+  const std::optional<std::uint64_t> startedByMs =
+    aGone.StartedAtMs() ? aGone.StartedAtMs() : currentStart;
   this->Remember(aGone.Instance(), { startedByMs, aNow });
   if (startedByMs < currentStart) {
     return false;
@@ -92,7 +93,7 @@
   if (!this->current || aNow < this->leaseEnd) {
     return false;
   }
-  if (this->current->StartedAtMs() != 0) {
+  if (this->current->StartedAtMs()) {
     // Without its start time a restarted instance, whose sequence begins anew, would look stale.
     this->lapsed = this->current;
   }
--- a/packages/decisions/mesh/target_registration.h
+++ b/packages/decisions/mesh/target_registration.h
@@ -9,8 +9,9 @@
 // An instance is one start of the target's process; a later start may have the same id. Reports
 // (beats) and sign-offs may arrive seconds late and out of order: of two reports of one instance
 // the one with the higher sequence number is newer, of two instances the one that started later.
-// Reports of an instance that has signed off are stale, also if its sign-off arrived before its
-// first report here, for example because this node has just started.
+// One that states a start is later than one that states none. Reports of an instance that has
+// signed off are stale, also if its sign-off arrived before its first report here, for example
+// because this node has just started.
 #pragma once
 
 #include <cstdint>
@@ -64,8 +65,9 @@
 private:
   struct SignOff
   {
-    /// Starts of the instance up to this one have ended, Unix time in milliseconds.
-    std::uint64_t startedByMs = 0;
+    /// Starts of the instance up to this one have ended, Unix time in milliseconds, and those that
+    /// state none; only the latter if empty.
+    std::optional<std::uint64_t> startedByMs;
     Time receivedAt{};
   };
 
--- a/packages/decisions/tests/lapsed_state_test.cc
+++ b/packages/decisions/tests/lapsed_state_test.cc
@@ -1,6 +1,7 @@
 // Guards against acting on what has lapsed: a late report of a target that is gone, a request that
 // waited beyond its deadline while the process was suspended, a grant of a former quota owner, a
 // repeat that was charged and not sent, and shares of a fleet whose size is not known yet.
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -20,7 +21,9 @@
 using std::chrono::seconds;
 
 TargetHeartbeat
-MakeHeartbeat(std::uint64_t aSequence, std::uint64_t aStartedAtMs, std::uint32_t aSlots = 1)
+MakeHeartbeat(std::uint64_t aSequence,
+              std::optional<std::uint64_t> aStartedAtMs,
+              std::uint32_t aSlots = 1)
 {
   return TargetHeartbeat({ .instance = "i1",
                            .host = "10.0.0.1",
@@ -50,12 +53,34 @@
 {
   TargetRegistration registration;
   const Time now{ seconds(1) };
-  registration.Receive(MakeHeartbeat(5, 0), now);
+  registration.Receive(MakeHeartbeat(5, std::nullopt), now);
   ASSERT_TRUE(registration.Expire(now + TargetRegistration::kLeaseDuration));
-  EXPECT_EQ(registration.Receive(MakeHeartbeat(1, 0), now + seconds(20)),
+  EXPECT_EQ(registration.Receive(MakeHeartbeat(1, std::nullopt), now + seconds(20)),
             TargetRegistration::Verdict::kChanged);
 }
 
+// Guards against requests at a target that is gone, after a late report of which the start or the
+// sequence number is 0.
+TEST(TargetRegistration, ZeroIsAStartAndASequenceNumber)
+{
+  using Verdict = TargetRegistration::Verdict;
+  TargetRegistration registration;
+  const Time now{ seconds(1) };
+  EXPECT_EQ(registration.Receive(MakeHeartbeat(0, 0), now), Verdict::kChanged);
+  EXPECT_EQ(registration.Receive(MakeHeartbeat(0, 0), now), Verdict::kStale);
+  EXPECT_EQ(registration.Receive(MakeHeartbeat(1, 0), now), Verdict::kRenewed);
+  const Time later = now + TargetRegistration::kLeaseDuration;
+  ASSERT_TRUE(registration.Expire(later));
+  EXPECT_EQ(registration.Receive(MakeHeartbeat(0, 0), later), Verdict::kStale);
+  EXPECT_EQ(registration.Receive(MakeHeartbeat(9, std::nullopt), later), Verdict::kStale);
+  EXPECT_EQ(registration.State(), TargetState::kNone);
+  EXPECT_EQ(registration.Receive(MakeHeartbeat(2, 0), later), Verdict::kChanged);
+  EXPECT_TRUE(
+    registration.Receive(TargetDeregistered({ .instance = "i1", .startedAtMs = 0 }), later));
+  EXPECT_EQ(registration.Receive(MakeHeartbeat(3, 0), later), Verdict::kStale);
+  EXPECT_EQ(registration.Receive(MakeHeartbeat(0, 1), later), Verdict::kChanged);
+}
+
 // Guards against requests at a target that has left: its sign-off arrives before its first report,
 // because the node has just started, and a late report follows.
 TEST(TargetRegistration, LateReportAfterASignOffOfAnUnknownInstanceIsStale)
