Tell an era of 0 from none, and notice a first era that is stated late

A store that states its first era only when it returns from an older copy was followed at an offset that it had assigned again, so changes could be missed, and the entries of the nodes in its registry were missing for good. A first era of 0 was neither logged nor passed on to peers.

Cause: the store client took the first era that it saw for the one in which it had read and written everything, also after answers without an era. The decisions held the era as a number, 0 for none.

Change: an era is a std::optional in the decisions, in messages between nodes, in evacuation orders and in FollowStore. A client that knows no era reads the registry once for a peer's report.

Ruled out as a remedy: to take a missing era for 0. A store that states none would then look as if it had gone back when it states 0.

--- a/packages/decisions/membership/membership.cc
+++ b/packages/decisions/membership/membership.cc
@@ -293,7 +293,7 @@
 }
 
 void
-Membership::SetStoreEra(std::uint64_t aEra)
+Membership::SetStoreEra(std::optional<std::uint64_t> aEra)
 {
   this->storeEra = aEra;
 }
--- a/packages/decisions/membership/membership.h
+++ b/packages/decisions/membership/membership.h
@@ -81,8 +81,9 @@
   void SetConfigOffset(std::optional<std::uint64_t> aOffset);
   /// Sets the hash of the evacuation orders that probes carry.
   void SetEvacuationHash(std::uint64_t aHash) { this->evacuationHash = aHash; }
-  /// Sets the era of the platform's store that this node's probes and acknowledgements report.
-  void SetStoreEra(std::uint64_t aEra);
+  /// Sets the era of the platform's store that this node's probes and acknowledgements report;
+  /// empty before the first one.
+  void SetStoreEra(std::optional<std::uint64_t> aEra);
 
   /// Runs the timers that are due.
   void Poll(Time aNow, Effects& aEffects);
@@ -175,7 +176,7 @@
   Time nextJoinRound = Time::max();
   std::optional<std::uint64_t> configOffset;
   std::uint64_t evacuationHash = 0;
-  std::uint64_t storeEra = 0;
+  std::optional<std::uint64_t> storeEra;
   Time nextPeriod{};
   /// Node that did not answer a message; probed next.
   std::optional<std::string> unresponsive;
--- a/packages/decisions/mesh/evacuation.cc
+++ b/packages/decisions/mesh/evacuation.cc
@@ -4,6 +4,7 @@
 #include <tuple>
 
 #include "util/hash.h"
+#include "values/text.h"
 
 namespace jackdawwind {
 
@@ -82,7 +83,7 @@
     if (order.Active()) {
       this->domains.insert(entry.first);
     }
-    bytes.Add(entry.first + " " + std::to_string(order.Era()) + " " +
+    bytes.Add(entry.first + " " + text::NumberOrNone(order.Era()) + " " +
               std::to_string(order.Offset()) + (order.Active() ? " active;" : " withdrawn;"));
   }
   this->hash = bytes.Value();
--- a/packages/decisions/mesh/mesh_core.cc
+++ b/packages/decisions/mesh/mesh_core.cc
@@ -263,18 +263,17 @@
   /// quotas don't go back with the store, and StoreClient writes this node's records again.
   void On(const StoreEraChanged& aEvent, Time /*aNow*/, Effects& aEffects)
   {
-    const std::uint64_t before = this->storeEra.Known();
+    const std::optional<std::uint64_t> before = this->storeEra.Known();
     if (!this->storeEra.NoteStore(aEvent.Era())) {
       return;
     }
-    this->membership.SetStoreEra(this->storeEra.Known());
+    this->membership.SetStoreEra(aEvent.Era());
     this->AnnounceContact(aEffects);
-    aEffects.push_back(MetricUpdated(
-      { .metric = Metric::kStoreEra, .value = static_cast<double>(this->storeEra.Known()) }));
+    aEffects.push_back(
+      MetricUpdated({ .metric = Metric::kStoreEra, .value = static_cast<double>(aEvent.Era()) }));
     AddLogLine(aEffects,
                LogEvent::kStoreEraStarted,
-               "era=" + std::to_string(this->storeEra.Known()) +
-                 " before=" + std::to_string(before) +
+               "era=" + std::to_string(aEvent.Era()) + " before=" + text::NumberOrNone(before) +
                  " version=" + text::NumberOrNone(this->configuration.Version()));
   }
   void On(const PeerReceived& aEvent, Time aNow, Effects& aEffects)
@@ -467,7 +466,10 @@
   }
 
   /// Asks the store about an era that a peer reports, if it is higher than the known one.
-  void NoteReportedEra(std::uint64_t aEra, const std::string& aPeer, Time aNow, Effects& aEffects)
+  void NoteReportedEra(std::optional<std::uint64_t> aEra,
+                       const std::string& aPeer,
+                       Time aNow,
+                       Effects& aEffects)
   {
     const StoreEra::Report report = this->storeEra.NotePeer(aEra, aNow);
     if (report == StoreEra::Report::kKnown) {
@@ -479,8 +481,8 @@
     }
     AddLogLine(aEffects,
                ask ? LogEvent::kStoreEraReported : LogEvent::kStoreEraIgnored,
-               "peer=" + aPeer + " era=" + std::to_string(aEra) +
-                 " known=" + std::to_string(this->storeEra.Known()));
+               "peer=" + aPeer + " era=" + text::NumberOrNone(aEra) +
+                 " known=" + text::NumberOrNone(this->storeEra.Known()));
   }
 
   /// Publishes the local target's service and state through the membership.
@@ -579,7 +581,7 @@
     }
     const bool active = wanted != StoreFollowing::kNone;
     this->following = wanted;
-    aEffects.push_back(FollowStore({ .following = wanted, .era = 0 }));
+    aEffects.push_back(FollowStore({ .following = wanted }));
     aEffects.push_back(
       MetricUpdated({ .metric = Metric::kStoreReader, .value = active ? 1.0 : 0.0 }));
     AddLogLine(aEffects,
--- a/packages/decisions/mesh/store_era.cc
+++ b/packages/decisions/mesh/store_era.cc
@@ -5,7 +5,7 @@
 bool
 StoreEra::NoteStore(std::uint64_t aEra)
 {
-  if (aEra <= this->known) {
+  if (this->known && aEra <= *this->known) {
     return false;
   }
   this->known = aEra;
@@ -13,12 +13,12 @@
 }
 
 StoreEra::Report
-StoreEra::NotePeer(std::uint64_t aEra, Time aNow)
+StoreEra::NotePeer(std::optional<std::uint64_t> aEra, Time aNow)
 {
   if (aEra <= this->known) {
     return Report::kKnown;
   }
-  if (aEra - this->known > kMaxJump) {
+  if (*aEra - this->known.value_or(0) > kMaxJump) {
     if (aNow < this->logAgainAt) {
       return Report::kKnown;
     }
--- a/packages/decisions/mesh/store_era.h
+++ b/packages/decisions/mesh/store_era.h
@@ -11,14 +11,15 @@
 // late, and would spread through the fleet. A report therefore causes one read of the store at
 // most, which states the era.
 //
-// A report of 0 comes from a node that knows no era and means nothing. A report of more than
-// kMaxJump above the known era is ignored: the era rises by one at a time, and every node reads the
-// store within a minute anyway.
+// The first era may be 0, which is higher than none. A report of more than kMaxJump above the known
+// era, or above 0 before the first one, is ignored: the era rises by one at a time, and every node
+// reads the store within a minute anyway.
 //
 // All operations take constant time.
 #pragma once
 
 #include <cstdint>
+#include <optional>
 
 #include "util/clock.h"
 
@@ -45,15 +46,16 @@
 
   /// Returns whether the era that the store states is higher than the known one.
   bool NoteStore(std::uint64_t aEra);
-  Report NotePeer(std::uint64_t aEra, Time aNow);
+  /// aEra is empty if the peer knows none.
+  Report NotePeer(std::optional<std::uint64_t> aEra, Time aNow);
 
-  /// Highest era that the store has stated; 0 before the first one.
-  std::uint64_t Known() const { return this->known; }
+  /// Highest era that the store has stated; empty before the first one.
+  std::optional<std::uint64_t> Known() const { return this->known; }
 
 private:
-  std::uint64_t known = 0;
-  /// Latest reported era about which the store was asked; 0 before the first one.
-  std::uint64_t asked = 0;
+  std::optional<std::uint64_t> known;
+  /// Latest reported era about which the store was asked.
+  std::optional<std::uint64_t> asked;
   Time askAgainAt{};
   Time logAgainAt{};
 };
--- a/packages/decisions/tests/evacuation_test.cc
+++ b/packages/decisions/tests/evacuation_test.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <chrono>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -22,7 +23,10 @@
 using std::chrono::seconds;
 
 EvacuationOrder
-Order(const std::string& aDomain, bool aActive, std::uint64_t aOffset, std::uint64_t aEra = 0)
+Order(const std::string& aDomain,
+      bool aActive,
+      std::uint64_t aOffset,
+      std::optional<std::uint64_t> aEra = std::nullopt)
 {
   return EvacuationOrder({ .domain = aDomain, .active = aActive, .era = aEra, .offset = aOffset });
 }
--- a/packages/decisions/tests/store_era_test.cc
+++ b/packages/decisions/tests/store_era_test.cc
@@ -3,6 +3,7 @@
 #include "decisions/mesh/store_era.h"
 
 #include <algorithm>
+#include <optional>
 #include <string>
 
 #include <gtest/gtest.h>
@@ -22,9 +23,9 @@
 {
   const Time now{ seconds(100) };
   StoreEra era;
-  EXPECT_EQ(era.NotePeer(0, now), Report::kKnown);
+  EXPECT_EQ(era.NotePeer(std::nullopt, now), Report::kKnown);
   EXPECT_EQ(era.NotePeer(3, now), Report::kAsk);
-  EXPECT_EQ(era.Known(), 0U);
+  EXPECT_EQ(era.Known(), std::nullopt);
   EXPECT_TRUE(era.NoteStore(3));
   EXPECT_FALSE(era.NoteStore(3));
   EXPECT_FALSE(era.NoteStore(2));
@@ -32,6 +33,20 @@
   EXPECT_EQ(era.NotePeer(3, now), Report::kKnown);
 }
 
+// Guards against a first era of 0 that is taken for none.
+TEST(StoreEra, BeginsAtAnyNumber)
+{
+  const Time now{ seconds(100) };
+  StoreEra era;
+  EXPECT_EQ(era.NotePeer(0, now), Report::kAsk);
+  EXPECT_EQ(era.NotePeer(0, now), Report::kKnown);
+  EXPECT_TRUE(era.NoteStore(0));
+  EXPECT_FALSE(era.NoteStore(0));
+  EXPECT_EQ(era.Known(), 0U);
+  EXPECT_EQ(era.NotePeer(std::nullopt, now), Report::kKnown);
+  EXPECT_EQ(era.NotePeer(1, now), Report::kAsk);
+}
+
 TEST(StoreEra, BoundsWhatWrongReportsCause)
 {
   Time now{ seconds(100) };
@@ -64,18 +79,21 @@
 
 TEST(MeshEra, PeersLearnAnEraThatTheStoreStated)
 {
-  FakeMesh mesh(1);
-  StartFleet(mesh);
-  mesh.Deliver("a1", StoreEraChanged({ .era = 4 }));
-  // A node that follows the store tells its domain at once.
-  mesh.Advance(milliseconds(100));
-  EXPECT_EQ(CountLines(mesh, "a2", LogEvent::kStoreEraReported, 4), 1U);
-  mesh.Advance(seconds(10));
-  EXPECT_EQ(CountLines(mesh, "a1", LogEvent::kStoreEraStarted, 4), 1U);
-  for (const char* node : { "a2", "b1", "b2", "b3" }) {
-    SCOPED_TRACE(node);
-    EXPECT_EQ(CountLines(mesh, node, LogEvent::kStoreEraReported, 4), 1U);
-    EXPECT_EQ(CountLines(mesh, node, LogEvent::kStoreEraStarted, 4), 0U);
+  for (const std::uint64_t era : { 4U, 0U }) {
+    SCOPED_TRACE(era);
+    FakeMesh mesh(1);
+    StartFleet(mesh);
+    mesh.Deliver("a1", StoreEraChanged({ .era = era }));
+    // A node that follows the store tells its domain at once.
+    mesh.Advance(milliseconds(100));
+    EXPECT_EQ(CountLines(mesh, "a2", LogEvent::kStoreEraReported, era), 1U);
+    mesh.Advance(seconds(10));
+    EXPECT_EQ(CountLines(mesh, "a1", LogEvent::kStoreEraStarted, era), 1U);
+    for (const char* node : { "a2", "b1", "b2", "b3" }) {
+      SCOPED_TRACE(node);
+      EXPECT_EQ(CountLines(mesh, node, LogEvent::kStoreEraReported, era), 1U);
+      EXPECT_EQ(CountLines(mesh, node, LogEvent::kStoreEraStarted, era), 0U);
+    }
   }
 }
 
