Follow an evacuation order that is the first record of the store

After a read of an empty store has withdrawn an evacuation, the operator's next order, at offset 0, was ignored by the nodes that had read it, and followed by the others.

Cause: an order that a complete read lacks is withdrawn at the last offset before the end of the read, which for an empty store is 0 as well; of two orders at one position the first one was kept.

Evidence: with the comparison of before, Evacuation.OrderAtTheFirstOffsetHolds fails: the order is ignored, and the two nodes disagree.

Ruled out: records at offset 0 that are read by polls or pages; the client keeps the offset of the next record.

Change: of two orders at one position an active one is in force. Merging stays commutative, so nodes that exchange their orders agree.

--- a/packages/decisions/mesh/evacuation.cc
+++ b/packages/decisions/mesh/evacuation.cc
@@ -10,10 +10,13 @@
 
 namespace {
 
+/// Two orders differ at one position only if one of them is a withdrawal that was inferred from a
+/// read, which names the last record before its end, or the first one if there is none.
 bool
 IsNewer(const EvacuationOrder& aOrder, const EvacuationOrder& aThan)
 {
-  return std::tuple(aOrder.Era(), aOrder.Offset()) > std::tuple(aThan.Era(), aThan.Offset());
+  return std::tuple(aOrder.Era(), aOrder.Offset(), aOrder.Active()) >
+         std::tuple(aThan.Era(), aThan.Offset(), aThan.Active());
 }
 
 } // namespace
--- a/packages/decisions/mesh/evacuation.h
+++ b/packages/decisions/mesh/evacuation.h
@@ -6,9 +6,9 @@
 //   if (evacuation.Domains().contains("ikeja")) { ... skip its targets ... }
 //
 // For each domain the order with the highest era and offset of the store is in force, wherever it
-// comes from. Merging orders is therefore commutative and idempotent, and nodes that exchange all
-// their orders agree afterwards. A withdrawn order is kept, so that a peer's earlier one does not
-// return. At most kMaxDomains domains are kept.
+// comes from; at the same position an active one. Merging orders is therefore commutative and
+// idempotent, and nodes that exchange all their orders agree afterwards. A withdrawn order is kept,
+// so that a peer's earlier one does not return. At most kMaxDomains domains are kept.
 //
 // Operations are linear in the number of domains, of which a fleet has a few.
 #pragma once
--- a/packages/decisions/tests/evacuation_test.cc
+++ b/packages/decisions/tests/evacuation_test.cc
@@ -97,6 +97,27 @@
   }
 }
 
+// Guards against an order that is ignored because it is the first record of the store, after a read
+// that found none, and against nodes that disagree about it.
+TEST(Evacuation, OrderAtTheFirstOffsetHolds)
+{
+  const EvacuationOrder first = Order("ikeja", true, 0, 1);
+  const EvacuationsRead empty({ .complete = true, .era = 1, .endOffset = 0 });
+  Evacuation reader;
+  reader.Receive(Poll(Order("ikeja", true, 6, 0)));
+  ASSERT_TRUE(reader.Receive(empty));
+  EXPECT_TRUE(reader.Domains().empty());
+  Evacuation peer;
+  EXPECT_TRUE(peer.Receive(Poll(first)));
+  EXPECT_TRUE(reader.Receive(Poll(first)));
+  EXPECT_TRUE(reader.Domains().contains("ikeja"));
+  EXPECT_EQ(reader.Hash(), peer.Hash());
+  EXPECT_FALSE(reader.Receive(empty));
+  // The operator withdraws it with the next record.
+  reader.Receive(Poll(Order("ikeja", false, 1, 1)));
+  EXPECT_TRUE(reader.Domains().empty());
+}
+
 /// Sends a request of a1 to the service fleet, whose targets are a1 (ikeja) and b1 (sharada).
 /// Returns the node that ran it, or the result code.
 std::string
