Log why a configuration or a report is refused or waited for

A configuration that was not adopted, a node that waits for its first one, a store that holds none, a heartbeat that waits for the recorded departures, and a departure that was not recorded in time left no line.

ConfigurationGossip::Adopt says what became of a configuration; an older one, or another one of the same version, is logged. A node without a configuration logs after the time for discovery, and then once a minute, how many peers it knows, which version it has requested and how it reads the store.

Left alone: evacuation orders beyond 64 domains and orders of peers that are not newer are not logged, since peers repeat them with each exchange.

Conclusion: each of these states names its reason in the log.

--- a/packages/decisions/mesh/configuration_gossip.cc
+++ b/packages/decisions/mesh/configuration_gossip.cc
@@ -26,13 +26,17 @@
 {
 }
 
-bool
+ConfigurationGossip::Adoption
 ConfigurationGossip::Adopt(const MeshConfiguration& aConfiguration,
                            const Members& aMembers,
                            Effects& aEffects)
 {
-  if (aConfiguration.Version() <= this->Version()) {
-    return false;
+  if (aConfiguration.Version() < this->Version()) {
+    return Adoption::kOlder;
+  }
+  if (aConfiguration.Version() == this->Version()) {
+    return aConfiguration == this->table->Configuration() ? Adoption::kUnchanged
+                                                          : Adoption::kConflicting;
   }
   this->table = std::make_shared<const RouteTable>(aConfiguration);
   if (this->requestedVersion <= this->Version()) {
@@ -41,9 +45,10 @@
   for (const PeerAddress& peer : this->ChoosePeers(aMembers)) {
     aEffects.push_back(SendPeer(
       { .to = peer,
-        .message = MeshConfigOffer({ .sender = this->self, .version = aConfiguration.Version() }) }));
+        .message =
+          MeshConfigOffer({ .sender = this->self, .version = aConfiguration.Version() }) }));
   }
-  return true;
+  return Adoption::kAdopted;
 }
 
 std::vector<PeerAddress>
--- a/packages/decisions/mesh/configuration_gossip.h
+++ b/packages/decisions/mesh/configuration_gossip.h
@@ -2,7 +2,8 @@
 // can't read the platform's store.
 //
 //   ConfigurationGossip gossip(self, seed);
-//   if (gossip.Adopt(configuration, members, effects)) { ... a newer version is in effect ... }
+//   using Adoption = ConfigurationGossip::Adoption;
+//   if (gossip.Adopt(configuration, members, effects) == Adoption::kAdopted) { ... in effect ... }
 //
 // The version never decreases. A node that adopts a new version offers it to a few random peers,
 // most of them near, which do the same. Every probe carries the sender's version as well, and a
@@ -31,11 +32,25 @@
 public:
   using Members = std::map<std::string, Member>;
 
+  /// What becomes of a configuration that a node reads or receives.
+  enum class Adoption
+  {
+    /// The configuration is newer and in effect from now on.
+    kAdopted,
+    /// It was in effect already.
+    kUnchanged,
+    /// A higher version is in effect.
+    kOlder,
+    /// Another configuration of the same version is in effect.
+    kConflicting,
+  };
+
   ConfigurationGossip(PeerAddress aSelf, std::uint64_t aSeed);
 
-  /// Replaces the current configuration if aConfiguration is newer, and offers it to peers. Returns
-  /// false if it is not newer.
-  bool Adopt(const MeshConfiguration& aConfiguration, const Members& aMembers, Effects& aEffects);
+  /// Replaces the current configuration if aConfiguration is newer, and offers it to peers.
+  Adoption Adopt(const MeshConfiguration& aConfiguration,
+                 const Members& aMembers,
+                 Effects& aEffects);
   /// Requests the configuration from aPeer if aVersion, which the peer has, is newer than the own.
   /// aVersion is empty if the peer has no configuration.
   void NoteVersion(const PeerAddress& aPeer,
@@ -51,6 +66,8 @@
   /// Whether a peer has had a newer version for kBehindTime, which this node did not get from it.
   bool IsBehind(Time aNow) const;
 
+  /// Latest version that was requested from a peer; empty before the first request.
+  std::optional<std::uint64_t> RequestedVersion() const { return this->requestedVersion; }
   /// Routes of the current configuration; null before the first one.
   const RouteTable* Table() const { return this->table.get(); }
   /// Version of the current configuration; empty before the first one.
--- a/packages/decisions/mesh/departure_log.cc
+++ b/packages/decisions/mesh/departure_log.cc
@@ -1,15 +1,28 @@
 #include "decisions/mesh/departure_log.h"
 
 #include <algorithm>
+#include <string>
 
 namespace jackdawwind {
 
 namespace {
 
 void
-Answer(std::uint64_t aReport, bool aAccepted, Effects& aEffects)
+AcceptReport(std::uint64_t aReport, Effects& aEffects)
 {
-  aEffects.push_back(AnswerReport({ .report = aReport, .accepted = aAccepted }));
+  aEffects.push_back(AnswerReport({ .report = aReport, .accepted = true }));
+}
+
+void
+RefuseReport(const TargetDeparted& aDeparture,
+             std::uint64_t aReport,
+             const char* aReason,
+             Effects& aEffects)
+{
+  aEffects.push_back(AnswerReport({ .report = aReport, .accepted = false }));
+  AddLogLine(aEffects,
+             LogEvent::kDepartureRefused,
+             "instance=" + aDeparture.Instance() + " reason=" + aReason);
 }
 
 bool
@@ -32,7 +45,7 @@
   }
   if (this->entries.size() == kMaxDepartures) {
     for (const Report& report : this->entries.front().waiting) {
-      Answer(report.number, false, aEffects);
+      RefuseReport(this->entries.front().departure, report.number, "too_many_waiting", aEffects);
     }
     this->entries.erase(this->entries.begin());
   }
@@ -48,7 +61,7 @@
 {
   Entry& entry = this->EntryOf(aDeparture, aEffects);
   if (entry.recorded) {
-    Answer(aReport, true, aEffects);
+    AcceptReport(aReport, aEffects);
     return false;
   }
   entry.waiting.push_back({ aReport, aNow + kAnswerTimeout });
@@ -65,7 +78,7 @@
     }
     entry.recorded = true;
     for (const Report& report : entry.waiting) {
-      Answer(report.number, true, aEffects);
+      AcceptReport(report.number, aEffects);
     }
     entry.waiting.clear();
   }
@@ -75,10 +88,10 @@
 DepartureLog::Poll(Time aNow, Effects& aEffects)
 {
   for (Entry& entry : this->entries) {
-    std::erase_if(entry.waiting, [aNow, &aEffects](const Report& aReport) {
+    std::erase_if(entry.waiting, [aNow, &entry, &aEffects](const Report& aReport) {
       const bool expired = aNow >= aReport.deadline;
       if (expired) {
-        Answer(aReport.number, false, aEffects);
+        RefuseReport(entry.departure, aReport.number, "not_recorded_in_time", aEffects);
       }
       return expired;
     });
--- a/packages/decisions/mesh/mesh_core.cc
+++ b/packages/decisions/mesh/mesh_core.cc
@@ -48,6 +48,9 @@
 /// shutdown.
 constexpr Duration kHopDeadlinesInterval = std::chrono::milliseconds(300);
 
+/// Interval of log lines about a configuration that has not come yet.
+constexpr Duration kAwaitedLogInterval = std::chrono::seconds(60);
+
 /// Heartbeats kept until the recorded departures are read; a target sends one in a second or two.
 constexpr std::size_t kMaxEarlyReports = 16;
 
@@ -100,6 +103,7 @@
   {
     Effects effects;
     this->startedAt = aNow;
+    this->nextAwaitedLog = aNow + kDiscoveryTimeout;
     this->departures.Start(aNow);
     this->membership.Start(aNow, effects);
     this->ProcessPendingWork(aNow, effects);
@@ -120,7 +124,8 @@
 
   Time NextWake() const
   {
-    const Time servingAt = this->phase == Phase::kBooting && this->configuration.Table() != nullptr
+    const bool configured = this->configuration.Table() != nullptr;
+    const Time servingAt = this->phase == Phase::kBooting && configured
                              ? this->startedAt + kDiscoveryTimeout
                              : Time::max();
     return std::min({ this->membership.NextWake(),
@@ -131,7 +136,7 @@
                       this->storeReaders.NextWake(),
                       this->picker.NextWake(),
                       this->nextHopDeadlines,
-                      servingAt });
+                      configured ? servingAt : this->nextAwaitedLog });
   }
 
   Distance DistanceTo(const std::string& aNode) const
@@ -193,9 +198,7 @@
       return;
     }
     if (!leaves && !this->departures.MayUseReports(aNow)) {
-      if (this->earlyReports.size() < kMaxEarlyReports) {
-        this->earlyReports.push_back(aEvent);
-      }
+      this->Defer(aEvent, aEffects);
       return;
     }
     if (this->target.Receive(aEvent, aNow, aEffects)) {
@@ -390,6 +393,21 @@
   {
   }
 
+  /// Keeps a heartbeat until the recorded departures are read.
+  void Defer(const TargetHeartbeat& aEvent, Effects& aEffects)
+  {
+    const std::string report =
+      "instance=" + aEvent.Instance() + " sequence=" + std::to_string(aEvent.Sequence());
+    if (this->earlyReports.size() >= kMaxEarlyReports) {
+      AddLogLine(aEffects, LogEvent::kBeatRejected, report + " reason=too_many_deferred");
+      return;
+    }
+    if (this->earlyReports.empty()) {
+      AddLogLine(aEffects, LogEvent::kBeatDeferred, report + " reason=departures_not_read");
+    }
+    this->earlyReports.push_back(aEvent);
+  }
+
   void Adopt(const MeshConfiguration& aConfiguration,
              LogEvent aEvent,
              const std::string& aSource,
@@ -397,13 +415,22 @@
              Effects& aEffects)
   {
     const std::optional<std::uint64_t> before = this->configuration.Version();
-    if (!this->configuration.Adopt(aConfiguration, this->membership.Members(), aEffects)) {
+    using Adoption = ConfigurationGossip::Adoption;
+    const Adoption adoption =
+      this->configuration.Adopt(aConfiguration, this->membership.Members(), aEffects);
+    if (adoption == Adoption::kUnchanged) {
       return;
     }
-    AddLogLine(aEffects,
-               aEvent,
-               "version=" + std::to_string(aConfiguration.Version()) +
-                 " before=" + text::NumberOrNone(before) + " source=" + aSource);
+    const std::string version = "version=" + std::to_string(aConfiguration.Version());
+    if (adoption != Adoption::kAdopted) {
+      AddLogLine(aEffects,
+                 LogEvent::kConfigIgnored,
+                 version + " in_force=" + text::NumberOrNone(before) + " source=" + aSource +
+                   " reason=" + (adoption == Adoption::kOlder ? "older" : "other_content"));
+      return;
+    }
+    AddLogLine(
+      aEffects, aEvent, version + " before=" + text::NumberOrNone(before) + " source=" + aSource);
     this->target.Configure(aConfiguration, aNow);
     this->quota.Configure(*this->configuration.Table(), aNow);
     this->quota.SetMembers(this->membership.Members(), aNow);
@@ -542,6 +569,7 @@
     for (const std::string& node : this->quota.TakeUnresponsiveOwners()) {
       this->membership.ReportUnresponsive(node, aNow);
     }
+    this->LogAwaitedConfiguration(aNow, aEffects);
     this->UpdateStoreReader(aNow, aEffects);
     this->SendHopDeadlines(aNow, aEffects);
     this->AdvanceShutdown(aNow, aEffects);
@@ -568,6 +596,22 @@
     }
   }
 
+  /// Says what a node without a configuration is waiting for.
+  void LogAwaitedConfiguration(Time aNow, Effects& aEffects)
+  {
+    if (this->configuration.Table() != nullptr || aNow < this->nextAwaitedLog) {
+      return;
+    }
+    this->nextAwaitedLog = aNow + kAwaitedLogInterval;
+    const Duration waited = aNow - this->startedAt;
+    AddLogLine(aEffects,
+               LogEvent::kConfigAwaited,
+               "waited_us=" + std::to_string(waited.count()) +
+                 " peers=" + std::to_string(this->membership.Members().size() - 1) +
+                 " requested=" + text::NumberOrNone(this->configuration.RequestedVersion()) +
+                 " store=" + std::string(ToText(this->following)));
+  }
+
   /// Follows the store while this node reads it for its domain, has no configuration, or misses one
   /// that its peers have.
   void UpdateStoreReader(Time aNow, Effects& aEffects)
@@ -684,6 +728,8 @@
   Time nextHopDeadlines = Time::max();
   Phase phase = Phase::kBooting;
   Time startedAt{};
+  /// Time of the next log line if there is no configuration by then.
+  Time nextAwaitedLog = Time::max();
   std::uint64_t appliedChanges = 0;
   StoreFollowing following = StoreFollowing::kVerifying;
 };
--- a/packages/decisions/tests/fake_mesh.cc
+++ b/packages/decisions/tests/fake_mesh.cc
@@ -1,6 +1,7 @@
 #include "decisions/tests/fake_mesh.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 #include <variant>
 
@@ -672,6 +673,18 @@
     this->runs.begin(), this->runs.end(), [&id](const Run& aRun) { return aRun.requestId == id; }));
 }
 
+std::vector<std::string>
+FakeMesh::LinesOf(const std::string& aNode, LogEvent aEvent) const
+{
+  const std::string text = " " + aNode + " " + std::string(ToText(aEvent)) + " ";
+  std::vector<std::string> found;
+  std::copy_if(this->lines.begin(),
+               this->lines.end(),
+               std::back_inserter(found),
+               [&text](const std::string& aLine) { return aLine.find(text) != std::string::npos; });
+  return found;
+}
+
 std::size_t
 FakeMesh::RunningAt(const std::string& aNode) const
 {
--- a/packages/decisions/tests/fake_mesh.h
+++ b/packages/decisions/tests/fake_mesh.h
@@ -148,6 +148,8 @@
   }
   /// Log lines of all nodes, in order.
   const std::vector<std::string>& Lines() const { return this->lines; }
+  /// Log lines of one node about one event, in order.
+  std::vector<std::string> LinesOf(const std::string& aNode, LogEvent aEvent) const;
 
 private:
   struct Node;
--- a/packages/decisions/tests/first_version_test.cc
+++ b/packages/decisions/tests/first_version_test.cc
@@ -118,5 +118,30 @@
   EXPECT_GE(mesh.ConfigurationRequests(), 4U);
 }
 
+// Guards against a node that refuses all requests, or goes on with another configuration than the
+// store has, and whose log does not say why.
+TEST(FirstVersion, LogSaysWhatANodeWaitsForAndWhatItIgnores)
+{
+  FakeMesh mesh(1);
+  StartHosts(mesh);
+  EXPECT_TRUE(mesh.LinesOf("a1", LogEvent::kConfigAwaited).empty());
+  mesh.Advance(seconds(70));
+  const std::vector<std::string> awaited = mesh.LinesOf("a1", LogEvent::kConfigAwaited);
+  ASSERT_EQ(awaited.size(), 2U);
+  EXPECT_TRUE(awaited[1].ends_with(" peers=4 requested=none store=verifying")) << awaited[1];
+  mesh.Configure(MakeConfiguration(0));
+  mesh.Advance(seconds(120));
+  EXPECT_EQ(mesh.LinesOf("a1", LogEvent::kConfigAwaited).size(), 2U);
+  mesh.Configure(MakeConfiguration(5));
+  mesh.Configure(MakeConfiguration(5));
+  EXPECT_TRUE(mesh.LinesOf("a1", LogEvent::kConfigIgnored).empty());
+  mesh.Configure(MakeConfiguration(0));
+  mesh.Configure(MakeConfiguration(5, { "new-key" }));
+  const std::vector<std::string> ignored = mesh.LinesOf("a1", LogEvent::kConfigIgnored);
+  ASSERT_EQ(ignored.size(), 2U);
+  EXPECT_TRUE(ignored[0].ends_with(" version=0 in_force=5 source=store reason=older"));
+  EXPECT_TRUE(ignored[1].ends_with(" version=5 in_force=5 source=store reason=other_content"));
+}
+
 } // namespace
 } // namespace jackdawwind
--- a/packages/decisions/tests/mesh_core_test.cc
+++ b/packages/decisions/tests/mesh_core_test.cc
@@ -339,6 +339,7 @@
   EXPECT_EQ(mesh.ReportAccepted(7), std::nullopt);
   mesh.Advance(milliseconds(450));
   EXPECT_EQ(mesh.ReportAccepted(7), false);
+  EXPECT_EQ(mesh.LinesOf("a1", LogEvent::kDepartureRefused).size(), 1U);
   // The departure is in force all the same.
   const std::uint64_t request = mesh.Request("a2", "api", "/fleet/1", "north-key");
   mesh.Advance(seconds(1));
@@ -358,6 +359,7 @@
 {
   FakeMesh mesh(1);
   StartFleet(mesh);
+  const std::size_t deferred = mesh.LinesOf("a1", LogEvent::kBeatDeferred).size();
   mesh.SetStoreAvailable(false);
   mesh.Restart("a1");
   mesh.ConfigureOnly({ "a1" }, MakeConfiguration(1));
@@ -370,6 +372,7 @@
   for (const FakeMesh::Run& run : mesh.Runs()) {
     EXPECT_EQ(run.node, "b1");
   }
+  EXPECT_EQ(mesh.LinesOf("a1", LogEvent::kBeatDeferred).size(), deferred + 1);
   mesh.Advance(seconds(2));
   for (int index = 0; index < 20; ++index) {
     mesh.Request("a2", "api", "/fleet/1", "north-key");
