--- a/tools/regression.sh
+++ b/tools/regression.sh
@@ -10,11 +10,13 @@
 
 # Site file and days to hunt: 40, or 8 where it has 60 hosts or more.
 deployments=(
-  "further/islandthreads 40"
-  "further-grown/islandthreads-grown 8"
+  "sites/aph-mesh 40"
+  "sites/vvf-mesh 40"
   "large/aph-mesh-large 8"
-  "grown/aph-mesh-grown 8"
   "grown/vvf-mesh-grown 8"
+  "grown/aph-mesh-grown 8"
+  "demands/kitaguni-heat-grown 8"
+  "demands/tsagaan-mesh-grown 8"
 )
 
 for deployment in "${deployments[@]}"; do
